--- /dev/null
+++ b/build/generate-wire.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Writes org.chivevale.wire/src/generated anew from wire.proto with the protoc of Maven Central.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+version=$(sed -n 's:.*<protobuf.version>\(.*\)</protobuf.version>.*:\1:p' pom.xml)
+mvn -q -B dependency:copy -Dartifact="com.google.protobuf:protoc:$version:exe:linux-x86_64" \
+    -DoutputDirectory="$PWD/target/protoc" -N
+protoc=$(ls target/protoc/protoc-*.exe)
+chmod +x "$protoc"
+rm -rf org.chivevale.wire/src/generated/java/*
+"$protoc" -Iorg.chivevale.wire/src/main/proto \
+    --java_out=org.chivevale.wire/src/generated/java org.chivevale.wire/src/main/proto/wire.proto
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/AgreedLog.java
@@ -0,0 +1,48 @@
+package org.chivevale.consensus;
+
+import java.util.function.Consumer;
+
+/**
+ * A log on which the control processes agree.
+ *
+ * <p>Contract: an entry counts once a majority has synced it; entries are applied in the same order
+ * everywhere. Called by one thread, which also gets the callbacks.
+ */
+public interface AgreedLog {
+    /** How an attempt to append ended. */
+    enum Result {
+        /** The entry is agreed and had its effect. */
+        APPLIED,
+        /** The entry is agreed but came too late to have an effect. */
+        SUPERSEDED,
+        /**
+         * This process does not lead, or lost the lead; the entry may or may not be agreed later.
+         */
+        NOT_LEADING
+    }
+
+    /**
+     * Appends an entry.
+     *
+     * @param payload the entry
+     * @param done learns the end
+     */
+    void append(byte[] payload, Consumer<Result> done);
+
+    /**
+     * Tells whether this process may decide now.
+     *
+     * @return true while it leads and a majority has confirmed that lately
+     */
+    boolean leading();
+
+    /**
+     * Returns the address that operators and proxies should use.
+     *
+     * @return the leader's id, or an empty text when there is none
+     */
+    String leader();
+
+    /** Stops; nothing is applied afterwards. */
+    void close();
+}
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/SoloLog.java
@@ -0,0 +1,85 @@
+package org.chivevale.consensus;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.function.Consumer;
+import org.chivevale.consensus.store.LogStore;
+import org.chivevale.wire.proto.StoredEntry;
+import org.chivevale.wire.proto.StoredSnapshot;
+
+/**
+ * The log of a deployment with one control process: durable, but without others to agree with.
+ *
+ * <p>Not thread safe.
+ */
+public final class SoloLog implements AgreedLog {
+    private static final long TERM = 1;
+
+    private final LogStore store;
+    private final StateMachine machine;
+    private final int snapshotEvery;
+    private final String self;
+    private long lastIndex;
+
+    /**
+     * Loads the state and takes the lead.
+     *
+     * @param self this process's id
+     * @param store where entries are kept
+     * @param machine what they are applied to
+     * @param snapshotEvery entries after which a snapshot is written
+     */
+    public SoloLog(String self, LogStore store, StateMachine machine, int snapshotEvery) {
+        this.self = self;
+        this.store = store;
+        this.machine = machine;
+        this.snapshotEvery = snapshotEvery;
+        StoredSnapshot snapshot = store.snapshot();
+        if (snapshot != null) {
+            machine.restore(snapshot.getState().toByteArray());
+            lastIndex = snapshot.getIndex();
+        }
+        for (StoredEntry entry : store.entries()) {
+            machine.apply(entry.getIndex(), entry.getPayload().toByteArray());
+            lastIndex = entry.getIndex();
+        }
+        machine.leadership(true, TERM);
+    }
+
+    @Override
+    public void append(byte[] payload, Consumer<Result> done) {
+        StoredEntry entry =
+                StoredEntry.newBuilder()
+                        .setIndex(lastIndex + 1)
+                        .setTerm(TERM)
+                        .setPayload(ByteString.copyFrom(payload))
+                        .build();
+        store.append(List.of(entry));
+        lastIndex++;
+        boolean effective = machine.apply(lastIndex, payload);
+        if (store.entries().size() >= snapshotEvery) {
+            store.saveSnapshot(
+                    StoredSnapshot.newBuilder()
+                            .setIndex(lastIndex)
+                            .setTerm(TERM)
+                            .setState(ByteString.copyFrom(machine.snapshot()))
+                            .build());
+        }
+        done.accept(effective ? Result.APPLIED : Result.SUPERSEDED);
+    }
+
+    @Override
+    public boolean leading() {
+        return true;
+    }
+
+    @Override
+    public String leader() {
+        return self;
+    }
+
+    @Override
+    public void close() {
+        store.close();
+    }
+}
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
@@ -0,0 +1,301 @@
+package org.chivevale.consensus.store;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+import org.chivevale.wire.proto.HardState;
+import org.chivevale.wire.proto.StoredEntry;
+import org.chivevale.wire.proto.StoredRecord;
+import org.chivevale.wire.proto.StoredSnapshot;
+
+/**
+ * The data folder of a control process: log entries, term and vote, and the newest snapshot.
+ *
+ * <p>Files: {@code LOCK}, {@code log}, {@code snapshot}. Invariants: what a method wrote is synced
+ * when it returns; a snapshot is replaced as a whole, and the log keeps what comes after it; one
+ * process at a time uses the folder. Not thread safe.
+ */
+public final class LogStore implements AutoCloseable {
+    private static final String LOG = "log";
+    private static final String NEW_LOG = "log.new";
+    private static final String SNAPSHOT = "snapshot";
+    private static final String NEW_SNAPSHOT = "snapshot.new";
+
+    private final Path folder;
+    private final FileChannel lockChannel;
+    private final FileLock lock;
+    private final List<StoredEntry> entries = new ArrayList<>();
+    private RecordFile file;
+    private HardState hardState = HardState.getDefaultInstance();
+    private StoredSnapshot snapshot;
+
+    private LogStore(Path folder, FileChannel lockChannel, FileLock lock) {
+        this.folder = folder;
+        this.lockChannel = lockChannel;
+        this.lock = lock;
+    }
+
+    /**
+     * Opens a data folder, making it when it is not there.
+     *
+     * @param folder the folder
+     * @return the store with everything loaded
+     * @throws ChivevaleException with STORE_LOCKED, STORE_DAMAGED or STORE_FAILED
+     */
+    public static LogStore open(Path folder) {
+        try {
+            Files.createDirectories(folder);
+            FileChannel channel =
+                    FileChannel.open(
+                            folder.resolve("LOCK"),
+                            StandardOpenOption.CREATE,
+                            StandardOpenOption.WRITE);
+            FileLock lock = tryLock(channel);
+            if (lock == null) {
+                channel.close();
+                throw new ChivevaleException(
+                        ResultCode.STORE_LOCKED, folder + " is used by another process");
+            }
+            LogStore store = new LogStore(folder, channel, lock);
+            store.load();
+            return store;
+        } catch (IOException e) {
+            throw failed(folder, e);
+        }
+    }
+
+    private static FileLock tryLock(FileChannel channel) throws IOException {
+        try {
+            return channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            return null;
+        }
+    }
+
+    private static ChivevaleException failed(Path path, IOException e) {
+        return new ChivevaleException(ResultCode.STORE_FAILED, path + ": " + e.getMessage());
+    }
+
+    private void load() throws IOException {
+        Files.deleteIfExists(folder.resolve(NEW_LOG));
+        Files.deleteIfExists(folder.resolve(NEW_SNAPSHOT));
+        loadSnapshot();
+        List<byte[]> records = new ArrayList<>();
+        file = RecordFile.open(folder.resolve(LOG), records);
+        for (byte[] record : records) {
+            load(record);
+        }
+        if (hardState.getStoreId().isEmpty()) {
+            saveHardState(hardState.toBuilder().setStoreId(UUID.randomUUID().toString()).build());
+            syncFolder();
+        }
+    }
+
+    private void loadSnapshot() throws IOException {
+        Path path = folder.resolve(SNAPSHOT);
+        if (!Files.exists(path)) {
+            return;
+        }
+        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(path));
+        if (bytes.remaining() < Integer.BYTES) {
+            throw damaged(path, 0);
+        }
+        int crc = bytes.getInt();
+        byte[] body = new byte[bytes.remaining()];
+        bytes.get(body);
+        if (crc != RecordFile.crc(body)) {
+            throw damaged(path, 0);
+        }
+        snapshot = StoredSnapshot.parseFrom(body);
+    }
+
+    private static ChivevaleException damaged(Path path, long offset) {
+        return new ChivevaleException(
+                ResultCode.STORE_DAMAGED, path + " at offset " + offset + ": damaged");
+    }
+
+    private void load(byte[] bytes) {
+        StoredRecord record;
+        try {
+            record = StoredRecord.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw damaged(folder.resolve(LOG), file.sizeBytes());
+        }
+        if (record.hasHardState()) {
+            hardState = record.getHardState();
+        }
+        record.getEntriesList().forEach(this::keep);
+    }
+
+    private void keep(StoredEntry entry) {
+        dropFrom(entry.getIndex());
+        if (entry.getIndex() > snapshotIndex()) {
+            entries.add(entry);
+        }
+    }
+
+    private void dropFrom(long index) {
+        while (!entries.isEmpty() && entries.get(entries.size() - 1).getIndex() >= index) {
+            entries.remove(entries.size() - 1);
+        }
+    }
+
+    private long snapshotIndex() {
+        return snapshot == null ? 0 : snapshot.getIndex();
+    }
+
+    /**
+     * Returns the entries after the snapshot.
+     *
+     * @return in the order of their index
+     */
+    public List<StoredEntry> entries() {
+        return List.copyOf(entries);
+    }
+
+    /**
+     * Returns the newest snapshot.
+     *
+     * @return null when there is none
+     */
+    public StoredSnapshot snapshot() {
+        return snapshot;
+    }
+
+    /**
+     * Returns term and vote.
+     *
+     * @return the last saved
+     */
+    public HardState hardState() {
+        return hardState;
+    }
+
+    /**
+     * Appends entries; an index that is there already replaces it and everything after it.
+     *
+     * @param added entries in the order of their index
+     */
+    public void append(List<StoredEntry> added) {
+        if (added.isEmpty()) {
+            return;
+        }
+        write(StoredRecord.newBuilder().addAllEntries(added).build());
+        added.forEach(this::keep);
+    }
+
+    private void write(StoredRecord record) {
+        file.append(record.toByteArray());
+    }
+
+    /**
+     * Saves term and vote.
+     *
+     * @param state the new ones; the store's id is kept
+     */
+    public void saveHardState(HardState state) {
+        HardState.Builder kept = state.toBuilder();
+        if (!hardState.getStoreId().isEmpty()) {
+            kept.setStoreId(hardState.getStoreId());
+        }
+        HardState saved = kept.build();
+        write(StoredRecord.newBuilder().setHardState(saved).build());
+        hardState = saved;
+    }
+
+    /**
+     * Replaces the snapshot and drops the entries that it covers.
+     *
+     * @param newSnapshot the state up to its index
+     */
+    public void saveSnapshot(StoredSnapshot newSnapshot) {
+        try {
+            byte[] body = newSnapshot.toByteArray();
+            ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + body.length);
+            bytes.putInt(RecordFile.crc(body)).put(body).flip();
+            replace(SNAPSHOT, NEW_SNAPSHOT, bytes);
+            snapshot = newSnapshot;
+            compact();
+        } catch (IOException e) {
+            throw failed(folder, e);
+        }
+    }
+
+    private void replace(String name, String newName, ByteBuffer bytes) throws IOException {
+        Path fresh = folder.resolve(newName);
+        try (FileChannel channel =
+                FileChannel.open(
+                        fresh,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        }
+        Files.move(
+                fresh,
+                folder.resolve(name),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        syncFolder();
+    }
+
+    private void compact() throws IOException {
+        List<StoredEntry> kept = new ArrayList<>();
+        for (StoredEntry entry : entries) {
+            if (entry.getIndex() > snapshot.getIndex()) {
+                kept.add(entry);
+            }
+        }
+        Path fresh = folder.resolve(NEW_LOG);
+        Files.deleteIfExists(fresh);
+        RecordFile compacted = RecordFile.open(fresh, new ArrayList<>());
+        compacted.append(
+                StoredRecord.newBuilder()
+                        .setHardState(hardState)
+                        .addAllEntries(kept)
+                        .build()
+                        .toByteArray());
+        Files.move(
+                fresh,
+                folder.resolve(LOG),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        syncFolder();
+        file.close();
+        file = compacted;
+        entries.clear();
+        entries.addAll(kept);
+    }
+
+    private void syncFolder() throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            file.close();
+            lock.release();
+            lockChannel.close();
+        } catch (IOException e) {
+            throw failed(folder, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
@@ -0,0 +1,172 @@
+package org.chivevale.consensus.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.zip.CRC32C;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+
+/**
+ * An append-only file of records, each with its length and a CRC-32C.
+ *
+ * <p>Format: four bytes of length, four bytes of CRC-32C over length and payload (both big-endian),
+ * the payload. Invariants: a record counts once {@link #append} returns, which is after it was
+ * synced; a torn tail is cut when the file is opened; any other damage is an error that names file
+ * and offset. After a failed write the file refuses everything. Not thread safe.
+ */
+final class RecordFile implements AutoCloseable {
+    static final int MAX_RECORD_BYTES = 64 * 1024 * 1024;
+    private static final int HEADER_BYTES = 2 * Integer.BYTES;
+
+    private final Path path;
+    private final FileChannel channel;
+    private long end;
+    private boolean failed;
+
+    private RecordFile(Path path, FileChannel channel) {
+        this.path = path;
+        this.channel = channel;
+    }
+
+    static RecordFile open(Path path, List<byte[]> records) throws IOException {
+        FileChannel channel =
+                FileChannel.open(
+                        path,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE);
+        RecordFile file = new RecordFile(path, channel);
+        try {
+            file.load(records);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+        return file;
+    }
+
+    private void load(List<byte[]> records) throws IOException {
+        long size = channel.size();
+        while (end < size) {
+            byte[] payload = readAt(end, size);
+            if (payload == null) {
+                channel.truncate(end);
+                channel.force(true);
+                return;
+            }
+            records.add(payload);
+            end += HEADER_BYTES + payload.length;
+        }
+    }
+
+    /** Reads a record; null when it is a torn tail, which only the last record can be. */
+    private byte[] readAt(long offset, long size) throws IOException {
+        if (size - offset < HEADER_BYTES) {
+            return null;
+        }
+        ByteBuffer header = read(offset, HEADER_BYTES);
+        int length = header.getInt();
+        int crc = header.getInt();
+        if (length < 0 || length > MAX_RECORD_BYTES) {
+            return tornOrDamaged(offset, size, "length " + length);
+        }
+        if (size - offset - HEADER_BYTES < length) {
+            return tornOrDamaged(offset, size, "record is cut");
+        }
+        byte[] payload = read(offset + HEADER_BYTES, length).array();
+        if (crc != crc(payload)) {
+            boolean last = offset + HEADER_BYTES + length == size;
+            return last ? null : damaged(offset, "checksum does not match");
+        }
+        return payload;
+    }
+
+    /** A cut record is a torn tail unless a whole record stands anywhere after its start. */
+    private byte[] tornOrDamaged(long offset, long size, String reason) throws IOException {
+        long rest = size - offset - 1;
+        if (rest > MAX_RECORD_BYTES) {
+            return damaged(offset, reason);
+        }
+        ByteBuffer tail = read(offset + 1, (int) rest);
+        for (int at = 0; at + HEADER_BYTES < tail.limit(); at++) {
+            if (wholeRecordAt(tail, at)) {
+                return damaged(offset, reason);
+            }
+        }
+        return null;
+    }
+
+    private static boolean wholeRecordAt(ByteBuffer tail, int at) {
+        int length = tail.getInt(at);
+        if (length <= 0 || length > tail.limit() - at - HEADER_BYTES) {
+            return false;
+        }
+        byte[] payload = new byte[length];
+        tail.get(at + HEADER_BYTES, payload);
+        return tail.getInt(at + Integer.BYTES) == crc(payload);
+    }
+
+    private byte[] damaged(long offset, String reason) {
+        throw new ChivevaleException(
+                ResultCode.STORE_DAMAGED, path + " at offset " + offset + ": " + reason);
+    }
+
+    private ByteBuffer read(long offset, int length) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(length);
+        while (buffer.hasRemaining()) {
+            if (channel.read(buffer, offset + buffer.position()) < 0) {
+                throw new IOException(path + " became shorter while it was read");
+            }
+        }
+        return buffer.flip();
+    }
+
+    static int crc(byte[] payload) {
+        CRC32C crc = new CRC32C();
+        crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(payload.length).flip());
+        crc.update(payload);
+        return (int) crc.getValue();
+    }
+
+    /** Appends a record and syncs it. */
+    void append(byte[] payload) {
+        requireSound();
+        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
+        buffer.putInt(payload.length).putInt(crc(payload)).put(payload);
+        write(buffer.flip());
+        end += HEADER_BYTES + payload.length;
+    }
+
+    private void write(ByteBuffer buffer) {
+        try {
+            long at = end;
+            while (buffer.hasRemaining()) {
+                at += channel.write(buffer, at);
+            }
+            channel.force(false);
+        } catch (IOException e) {
+            failed = true;
+            throw new ChivevaleException(ResultCode.STORE_FAILED, path + ": " + e.getMessage());
+        }
+    }
+
+    long sizeBytes() {
+        return end;
+    }
+
+    private void requireSound() {
+        if (failed) {
+            throw new ChivevaleException(
+                    ResultCode.STORE_FAILED, path + ": an earlier write failed");
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/package-info.java
@@ -0,0 +1,2 @@
+/** The data folder: synced records with checksums, term and vote, snapshots. */
+package org.chivevale.consensus.store;
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/AnnouncementReader.java
@@ -0,0 +1,119 @@
+package org.chivevale.control.internal.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.chivevale.control.internal.fleet.InstanceAnnouncement;
+import org.chivevale.control.internal.fleet.Membership;
+import org.chivevale.core.account.ClientKey;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.config.Database;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.settings.HostPort;
+
+/**
+ * Reads and checks the announcement of an endpoint.
+ *
+ * <p>Invariant: an announcement counts only for databases whose credential came with it, and as a
+ * whole or not at all. Used on the event loop.
+ */
+final class AnnouncementReader {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int MIN_LIFE_MILLIS = 100;
+    private static final int MAX_LIFE_MILLIS = 600_000;
+    private static final int MAX_CONNECTIONS = 100_000;
+    private static final int MAX_NAME_CHARS = 64;
+
+    private final Configuration configuration;
+    private final Membership membership;
+
+    AnnouncementReader(Configuration configuration, Membership membership) {
+        this.configuration = configuration;
+        this.membership = membership;
+    }
+
+    void take(String credential, JsonNode body, long nowNanos) {
+        EndpointId endpoint = new EndpointId(text(body, "endpoint"));
+        int lifeMillis = number(body, "time_to_live_ms", MIN_LIFE_MILLIS, MAX_LIFE_MILLIS);
+        List<InstanceAnnouncement> instances = new ArrayList<>();
+        for (JsonNode group : body.path("groups")) {
+            instances.add(instance(endpoint, body, group, credential));
+        }
+        if (instances.isEmpty()) {
+            throw invalid("field 'groups' must be a list of groups");
+        }
+        long endNanos = nowNanos + lifeMillis * NANOS_PER_MILLI;
+        instances.forEach(instance -> membership.announce(instance, endNanos));
+    }
+
+    private InstanceAnnouncement instance(
+            EndpointId endpoint, JsonNode body, JsonNode group, String credential) {
+        GroupId id = GroupId.parse(text(group, "group"));
+        requireCredential(id, credential);
+        String upstream = group.path("upstream").asText("");
+        if (!upstream.isEmpty()) {
+            upstream = address(upstream).toString();
+        }
+        return new InstanceAnnouncement(
+                endpoint,
+                id,
+                address(text(group, "host") + ":" + number(group, "port", 1, 65535)),
+                text(body, "region"),
+                text(body, "data_center"),
+                body.path("incarnation").asLong(),
+                group.path("primary").asBoolean(),
+                number(group, "timeline", 1, Integer.MAX_VALUE),
+                upstream,
+                number(group, "connection_limit", 1, MAX_CONNECTIONS),
+                body.path("leaving").asBoolean());
+    }
+
+    private void requireCredential(GroupId group, String credential) {
+        Database database = configuration.database(group.database());
+        byte[] hash = configuration.credentialHash(group.database());
+        boolean right =
+                database != null
+                        && hash != null
+                        && credential != null
+                        && ClientKey.parse(credential).matches(hash);
+        if (!right) {
+            throw new ChivevaleException(
+                    ResultCode.CREDENTIAL_REFUSED,
+                    "not the credential of database '" + group.database() + "'");
+        }
+        if (group.slot() >= database.slots()) {
+            throw invalid("database " + group.database() + " has no slot " + group.slot());
+        }
+    }
+
+    private static HostPort address(String text) {
+        try {
+            return HostPort.parse(text);
+        } catch (ChivevaleException e) {
+            throw invalid(e.getMessage());
+        }
+    }
+
+    private static String text(JsonNode node, String name) {
+        String text = node.path(name).asText("");
+        if (text.isEmpty() || text.length() > MAX_NAME_CHARS) {
+            throw invalid("field '" + name + "' must be a text");
+        }
+        return text;
+    }
+
+    private static int number(JsonNode node, String name, int min, int max) {
+        JsonNode value = node.path(name);
+        if (!value.canConvertToInt() || value.asInt() < min || value.asInt() > max) {
+            throw invalid("field '" + name + "' must be a whole number, " + min + " to " + max);
+        }
+        return value.asInt();
+    }
+
+    private static ChivevaleException invalid(String message) {
+        return new ChivevaleException(ResultCode.ANNOUNCEMENT_INVALID, message);
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administration API. */
+package org.chivevale.control.internal.admin;
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverChanges.java
@@ -0,0 +1,145 @@
+package org.chivevale.control.internal.failover;
+
+import java.util.List;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.config.Group;
+import org.chivevale.core.failover.FailoverAction;
+import org.chivevale.core.failover.FailoverPhase;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.FailoverStep;
+import org.chivevale.wire.proto.GroupState;
+
+/**
+ * Writes the steps of a replacement as changes of the configuration.
+ *
+ * <p>Each method returns no changes when the log has moved on meanwhile. Stateless and thread safe.
+ */
+public final class FailoverChanges {
+    private FailoverChanges() {}
+
+    /**
+     * Fences a primary.
+     *
+     * @param group the group with its primary
+     * @param reason why it is replaced
+     * @param planned true for a hand-over
+     * @return the changes
+     */
+    public static List<Change> fence(Group group, String reason, boolean planned) {
+        return fence(group, reason, planned, "", FailoverPhase.FENCING);
+    }
+
+    /**
+     * Fences a primary.
+     *
+     * @param group the group with its primary
+     * @param reason why it is replaced
+     * @param planned true for a hand-over
+     * @param preferred the endpoint to promote, or an empty text
+     * @param phase FENCING, or FENCING_WITH_LOSS
+     * @return the changes
+     */
+    public static List<Change> fence(
+            Group group, String reason, boolean planned, String preferred, FailoverPhase phase) {
+        FailoverStep.Builder step =
+                FailoverStep.newBuilder()
+                        .setGroupId(group.id().toString())
+                        .setFromTerm(group.term())
+                        .setPhase(phase.name())
+                        .setReason(reason)
+                        .setPlanned(planned)
+                        .setPreferredEndpointId(preferred);
+        if (group.primary() != null) {
+            step.setReplacedEndpointId(group.primary().value());
+        }
+        GroupState fenced =
+                GroupState.newBuilder()
+                        .setGroupId(group.id().toString())
+                        .setTerm(group.term())
+                        .build();
+        return List.of(
+                Change.newBuilder().setGroupState(fenced).build(),
+                Change.newBuilder().setFailoverStep(step).build());
+    }
+
+    static List<Change> choose(Configuration now, FailoverStep step, EndpointId candidate) {
+        FailoverPhase phase = FailoverPhase.valueOf(step.getPhase());
+        FailoverPhase next =
+                phase.withLoss() ? FailoverPhase.PROMOTING_WITH_LOSS : FailoverPhase.PROMOTING;
+        return ifCurrent(
+                now,
+                step,
+                step.toBuilder()
+                        .setPhase(next.name())
+                        .setCandidateEndpointId(candidate.value())
+                        .build());
+    }
+
+    static List<Change> reconsider(Configuration now, FailoverStep step) {
+        FailoverPhase phase = FailoverPhase.valueOf(step.getPhase());
+        FailoverPhase next =
+                phase.withLoss() ? FailoverPhase.FENCING_WITH_LOSS : FailoverPhase.FENCING;
+        return ifCurrent(
+                now,
+                step,
+                step.toBuilder().setPhase(next.name()).setCandidateEndpointId("").build());
+    }
+
+    private static List<Change> ifCurrent(Configuration now, FailoverStep step, FailoverStep next) {
+        return current(now, step)
+                ? List.of(Change.newBuilder().setFailoverStep(next).build())
+                : List.of();
+    }
+
+    private static boolean current(Configuration now, FailoverStep step) {
+        return step.equals(now.failovers().get(step.getGroupId()));
+    }
+
+    static List<Change> reinstate(
+            Configuration now, FailoverStep step, EndpointId primary, HostPort address) {
+        long term = now.group(GroupId.parse(step.getGroupId())).term();
+        return ended(now, step, primary, address, term, 0);
+    }
+
+    static List<Change> publish(
+            Configuration now,
+            FailoverStep step,
+            FailoverAction.Publish publish,
+            HostPort address) {
+        return ended(
+                now, step, publish.primary(), address, publish.term(), publish.startPosition());
+    }
+
+    private static List<Change> ended(
+            Configuration now,
+            FailoverStep step,
+            EndpointId primary,
+            HostPort address,
+            long term,
+            long startPosition) {
+        if (!current(now, step)) {
+            return List.of();
+        }
+        FailoverStep cleared = FailoverStep.newBuilder().setGroupId(step.getGroupId()).build();
+        return List.of(
+                primary(step.getGroupId(), primary, address, term, startPosition),
+                Change.newBuilder().setFailoverStep(cleared).build());
+    }
+
+    static Change primary(
+            String groupId, EndpointId primary, HostPort address, long term, long startPosition) {
+        return Change.newBuilder()
+                .setGroupState(
+                        GroupState.newBuilder()
+                                .setGroupId(groupId)
+                                .setTerm(term)
+                                .setPrimaryEndpointId(primary.value())
+                                .setPrimaryHost(address.host())
+                                .setPrimaryPort(address.port())
+                                .setStartPosition(startPosition))
+                .build();
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
@@ -0,0 +1,108 @@
+package org.chivevale.control.internal.failover;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.chivevale.control.ControlSettings;
+import org.chivevale.control.internal.fleet.FleetService;
+import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.config.Database;
+import org.chivevale.core.failover.FailoverPolicy;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.Service;
+import org.chivevale.database.DatabaseConnectors;
+import org.chivevale.database.PostgresConnectorOptions;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+
+/**
+ * Watches all groups, replaces lost primaries and keeps members as the log says.
+ *
+ * <p>Works only while this process may decide. Used on the event loop.
+ */
+public final class FailoverService implements Service {
+    /** Name in the kernel. */
+    public static final String NAME = "failover";
+
+    private static final long TICK_MILLIS = 20;
+    private static final long PROMOTION_PATIENCE_MILLIS = 3000;
+    private static final long HAND_OVER_PATIENCE_MILLIS = 1500;
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final ControlSettings settings;
+    private final Map<String, GroupWorker> workers = new TreeMap<>();
+    private final Map<String, GroupKeeper> keepers = new TreeMap<>();
+    private final FailoverPolicy policy =
+            new FailoverPolicy(PROMOTION_PATIENCE_MILLIS, HAND_OVER_PATIENCE_MILLIS);
+    private LogService log;
+    private FleetService fleet;
+    private MemberCaller members;
+    private FailoverTimes times;
+
+    /**
+     * Creates the service.
+     *
+     * @param settings the process's settings
+     */
+    public FailoverService(ControlSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        log = kernel.find(LogService.NAME, LogService.class);
+        fleet = kernel.find(FleetService.NAME, FleetService.class);
+        times = new FailoverTimes(kernel.find(Metrics.NAME, Metrics.class).registry());
+        PostgresConnectorOptions options =
+                new PostgresConnectorOptions(
+                        "chivevale", settings.databasePassword(), CONNECT_TIMEOUT_MILLIS);
+        members = new MemberCaller(DatabaseConnectors.postgres(loop.vertx(), options));
+        loop.every(TICK_MILLIS, this::tick);
+    }
+
+    private void tick() {
+        if (!log.leading()) {
+            workers.clear();
+            keepers.clear();
+            return;
+        }
+        Configuration configuration = log.state().configuration();
+        for (Database database : configuration.databases()) {
+            for (int slot = 0; slot < database.slots(); slot++) {
+                GroupId group = new GroupId(database.name(), slot);
+                worker(group).tick();
+                keepers.computeIfAbsent(
+                                group.toString(),
+                                key -> new GroupKeeper(group, log, fleet, members))
+                        .tick();
+            }
+        }
+    }
+
+    private GroupWorker worker(GroupId group) {
+        return workers.computeIfAbsent(
+                group.toString(),
+                key -> new GroupWorker(group, log, fleet, members, policy, times));
+    }
+
+    /**
+     * Says why the replacement of a group's primary can't go on.
+     *
+     * @param group the group
+     * @return an empty text when it can
+     */
+    public String blockedReason(GroupId group) {
+        return worker(group).blockedReason();
+    }
+
+    /**
+     * Returns what replacements have cost.
+     *
+     * @return to be used on the event loop
+     */
+    public FailoverTimes times() {
+        return times;
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/package-info.java
@@ -0,0 +1,2 @@
+/** Carrying out replacements of primaries. */
+package org.chivevale.control.internal.failover;
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -0,0 +1,383 @@
+package org.chivevale.control.internal.fleet;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chivevale.control.ControlSettings;
+import org.chivevale.control.internal.log.ControlState;
+import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.admission.ConnectionShares;
+import org.chivevale.core.errors.ResultCode;
+import org.chivevale.core.failover.HealthBoard;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.Service;
+import org.chivevale.core.lease.LeaseGrantor;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.wire.FrameConnection;
+import org.chivevale.wire.FrameListener;
+import org.chivevale.wire.FrameServer;
+import org.chivevale.wire.proto.AccountUse;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.ChangePush;
+import org.chivevale.wire.proto.ConnectionDemand;
+import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.ErrorAnswer;
+import org.chivevale.wire.proto.Frame;
+import org.chivevale.wire.proto.HealthReport;
+import org.chivevale.wire.proto.LogEntry;
+import org.chivevale.wire.proto.RenewAnswer;
+import org.chivevale.wire.proto.RenewRequest;
+
+/**
+ * Grants fleet leases and with them hands out configuration, membership, shares and rates.
+ *
+ * <p>Invariant: nothing is granted unless this process may decide. Used on the event loop.
+ */
+public final class FleetService implements Service {
+    /** Name in the kernel. */
+    public static final String NAME = "fleet";
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long TICK_MILLIS = 20;
+    private static final long REPORT_LIFE_NANOS = 2_500 * NANOS_PER_MILLI;
+    private static final int CONNECTIONS_FOR_CONTROL = 2;
+
+    private final ControlSettings settings;
+    private final Map<String, ConnectionShares> shares = new HashMap<>();
+    private final Map<GroupId, HealthBoard> boards = new HashMap<>();
+    private final Map<String, Map<String, AccountUse>> uses = new HashMap<>();
+    private final Set<FrameConnection> connections = new HashSet<>();
+    private final InForceTracker inForce = new InForceTracker();
+    private EventLoop loop;
+    private LogService log;
+    private ControlState state;
+    private LeaseGrantor leases;
+    private Membership membership;
+    private RateOwners rates;
+    private FrameServer server;
+    private Counter renewals;
+    private Timer inForceTimer;
+    private long pushedConfigVersion;
+    private long pushedMembersVersion;
+
+    /**
+     * Creates the service.
+     *
+     * @param settings the process's settings
+     */
+    public FleetService(ControlSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        log = kernel.find(LogService.NAME, LogService.class);
+        state = log.state();
+        meters(kernel.find(Metrics.NAME, Metrics.class).registry());
+        loop.runAndWait(this::begin);
+        HostPort listen = settings.wireListen();
+        server = new FrameServer(listen.host(), listen.port(), new Listener());
+        loop.every(TICK_MILLIS, this::tick);
+    }
+
+    private void meters(MeterRegistry registry) {
+        renewals = registry.counter("chivevale.control.lease.renewals");
+        inForceTimer =
+                Timer.builder("chivevale.control.change.in.force")
+                        .publishPercentiles(0.5, 0.99)
+                        .register(registry);
+        registry.gauge("chivevale.control.proxies", this, self -> self.proxyCount());
+    }
+
+    private int proxyCount() {
+        return membership == null ? 0 : membership.proxies().size();
+    }
+
+    private void begin() {
+        long now = EventLoop.nowNanos();
+        leases =
+                new LeaseGrantor(
+                        settings.leaseMillis() * NANOS_PER_MILLI,
+                        settings.clockDriftPartsPerMillion(),
+                        now);
+        long started = System.currentTimeMillis();
+        membership = new Membership(state.configuration(), started << 16);
+        rates = new RateOwners(state.configuration(), started << 16);
+        state.listen(this::stateChanged);
+    }
+
+    private void stateChanged() {
+        inForce.accepted(state.history());
+        membership.configurationChanged();
+        push();
+    }
+
+    private void tick() {
+        long now = EventLoop.nowNanos();
+        membership.sweep(now);
+        leases.sweep(now);
+        Set<String> holders = leases.holders(now);
+        for (ProxyMemberState proxy : membership.proxies()) {
+            if (!holders.contains(holder(proxy.id(), proxy.incarnation()))) {
+                proxyGone(proxy);
+            }
+        }
+        for (long tookMillis : inForce.check(leases, now, System.currentTimeMillis())) {
+            inForceTimer.record(Duration.ofMillis(tookMillis));
+        }
+        push();
+    }
+
+    private void proxyGone(ProxyMemberState proxy) {
+        membership.proxyGone(proxy.id());
+        shares.values().forEach(share -> share.remove(proxy.id()));
+    }
+
+    private static String holder(String proxyId, long incarnation) {
+        return proxyId + "/" + incarnation;
+    }
+
+    private void push() {
+        long configVersion = state.configuration().version();
+        long membersVersion = membership.version();
+        if (configVersion == pushedConfigVersion && membersVersion == pushedMembersVersion) {
+            return;
+        }
+        pushedConfigVersion = configVersion;
+        pushedMembersVersion = membersVersion;
+        Frame frame =
+                Frame.newBuilder()
+                        .setChangePush(
+                                ChangePush.newBuilder()
+                                        .setConfigVersion(configVersion)
+                                        .setMembersVersion(membersVersion))
+                        .build();
+        connections.forEach(connection -> connection.send(frame));
+    }
+
+    /** Hands frames from the I/O thread to the event loop. */
+    private final class Listener implements FrameListener {
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            loop.run(() -> handle(connection, frame));
+        }
+
+        @Override
+        public void closed(FrameConnection connection) {
+            loop.run(() -> connections.remove(connection));
+        }
+    }
+
+    private void handle(FrameConnection connection, Frame frame) {
+        Frame.Builder answer = Frame.newBuilder().setCorrelationId(frame.getCorrelationId());
+        if (!log.leading()) {
+            answer.setErrorAnswer(
+                    ErrorAnswer.newBuilder()
+                            .setCode(ResultCode.NOT_LEADER.number())
+                            .setMessage(log.leader()));
+            connection.send(answer.build());
+            return;
+        }
+        switch (frame.getBodyCase()) {
+            case RENEW_REQUEST -> {
+                connections.add(connection);
+                answer.setRenewAnswer(renew(frame.getRenewRequest()));
+            }
+            case RATE_REQUEST ->
+                    answer.setRateAnswer(
+                            rates.answer(frame.getRateRequest(), EventLoop.nowNanos()));
+            default ->
+                    answer.setErrorAnswer(
+                            ErrorAnswer.newBuilder()
+                                    .setCode(ResultCode.MALFORMED_REQUEST.number())
+                                    .setMessage("unexpected " + frame.getBodyCase()));
+        }
+        connection.send(answer.build());
+    }
+
+    private RenewAnswer renew(RenewRequest request) {
+        long now = EventLoop.nowNanos();
+        renewals.increment();
+        ProxyMemberState proxy = proxy(request);
+        if (!membership.proxyReported(proxy)) {
+            return RenewAnswer.newBuilder().setGranted(false).build();
+        }
+        String holder = holder(proxy.id(), proxy.incarnation());
+        if (request.getLeaving()) {
+            leases.release(holder);
+            proxyGone(proxy);
+            return RenewAnswer.newBuilder().setGranted(false).build();
+        }
+        long leaseNanos = leases.grant(holder, request.getConfigVersion(), now);
+        reportHealth(request, now);
+        noteUses(request);
+        RenewAnswer.Builder answer =
+                RenewAnswer.newBuilder()
+                        .setGranted(true)
+                        .setLeaseMillis(leaseNanos / NANOS_PER_MILLI)
+                        .addAllConnectionShares(shares(request));
+        addConfiguration(answer, request.getConfigVersion());
+        addMembers(answer, request.getMembersVersion());
+        return answer.build();
+    }
+
+    private static ProxyMemberState proxy(RenewRequest request) {
+        return new ProxyMemberState(
+                request.getProxyId(),
+                request.getIncarnation(),
+                request.getRegion(),
+                request.getDataCenter(),
+                new HostPort(request.getForwardHost(), request.getForwardPort()),
+                request.getSequence(),
+                request.getConfigVersion());
+    }
+
+    private void reportHealth(RenewRequest request, long nowNanos) {
+        for (HealthReport report : request.getHealthReportsList()) {
+            board(GroupId.parse(report.getGroupId()))
+                    .report(
+                            request.getProxyId(),
+                            request.getDataCenter(),
+                            new EndpointId(report.getEndpointId()),
+                            report.getTerm(),
+                            report.getSuspect(),
+                            nowNanos);
+        }
+    }
+
+    private void noteUses(RenewRequest request) {
+        Map<String, AccountUse> ofProxy =
+                uses.computeIfAbsent(
+                        holder(request.getProxyId(), request.getIncarnation()),
+                        key -> new HashMap<>());
+        for (AccountUse use : request.getAccountUsesList()) {
+            ofProxy.put(use.getAccountId(), use);
+        }
+    }
+
+    private List<ConnectionShare> shares(RenewRequest request) {
+        List<ConnectionShare> answers = new ArrayList<>();
+        for (ConnectionDemand demand : request.getConnectionDemandsList()) {
+            InstanceAnnouncement instance =
+                    membership.instance(
+                            new EndpointId(demand.getEndpointId()),
+                            GroupId.parse(demand.getGroupId()));
+            if (instance == null) {
+                continue;
+            }
+            int limit = Math.max(1, instance.connectionLimit() - CONNECTIONS_FOR_CONTROL);
+            ConnectionShares share =
+                    shares.computeIfAbsent(
+                            demand.getGroupId() + "/" + demand.getEndpointId(),
+                            key -> new ConnectionShares(limit, settings.connectionFloor()));
+            share.changeLimit(limit);
+            int granted =
+                    share.report(
+                            request.getProxyId(), demand.getWanted(), demand.getLimitInForce());
+            answers.add(
+                    ConnectionShare.newBuilder()
+                            .setEndpointId(demand.getEndpointId())
+                            .setGroupId(demand.getGroupId())
+                            .setLimit(granted)
+                            .build());
+        }
+        return answers;
+    }
+
+    private void addConfiguration(RenewAnswer.Builder answer, long knownVersion) {
+        answer.setConfigVersion(state.configuration().version());
+        List<LogEntry> entries = state.entriesAfter(knownVersion);
+        if (entries == null) {
+            answer.setSnapshot(state.configuration().snapshot(true));
+        } else {
+            entries.forEach(entry -> answer.addEntries(forProxy(entry)));
+        }
+    }
+
+    private static LogEntry forProxy(LogEntry entry) {
+        LogEntry.Builder visible = LogEntry.newBuilder().setVersion(entry.getVersion());
+        for (Change change : entry.getChangesList()) {
+            boolean controlOnly =
+                    change.hasOperatorPut()
+                            || change.hasPlanStored()
+                            || change.hasDatabaseCredentialPut()
+                            || change.hasFailoverStep();
+            if (!controlOnly) {
+                visible.addChanges(change);
+            }
+        }
+        return visible.build();
+    }
+
+    private void addMembers(RenewAnswer.Builder answer, long knownVersion) {
+        answer.setMembersVersion(membership.version());
+        if (knownVersion != membership.version()) {
+            answer.setMembersIncluded(true);
+            answer.addAllEndpoints(membership.endpointMessages());
+            answer.addAllProxies(membership.proxyMessages());
+        }
+    }
+
+    /**
+     * Returns the membership.
+     *
+     * @return to be used on the event loop
+     */
+    public Membership membership() {
+        return membership;
+    }
+
+    /**
+     * Returns the leases.
+     *
+     * @return to be used on the event loop
+     */
+    public LeaseGrantor leases() {
+        return leases;
+    }
+
+    /**
+     * Returns when entries came into force.
+     *
+     * @return to be used on the event loop
+     */
+    public InForceTracker inForce() {
+        return inForce;
+    }
+
+    /**
+     * Returns the reports on a group's primary.
+     *
+     * @param group the group
+     * @return to be used on the event loop
+     */
+    public HealthBoard board(GroupId group) {
+        return boards.computeIfAbsent(group, key -> new HealthBoard(REPORT_LIFE_NANOS));
+    }
+
+    /**
+     * Lists what proxies have counted, by proxy and client account.
+     *
+     * @return counters since each proxy started
+     */
+    public Map<String, Map<String, AccountUse>> uses() {
+        return uses;
+    }
+
+    @Override
+    public void stop() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InstanceAnnouncement.java
@@ -0,0 +1,35 @@
+package org.chivevale.control.internal.fleet;
+
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.settings.HostPort;
+
+/**
+ * What an endpoint announces of one database group.
+ *
+ * <p>Immutable.
+ *
+ * @param endpoint the endpoint
+ * @param group the group
+ * @param address where the instance is reached
+ * @param region where the endpoint stands
+ * @param dataCenter where the endpoint stands
+ * @param incarnation tells a restart of the endpoint
+ * @param primary true when it runs as a primary
+ * @param timeline its timeline
+ * @param upstream whom it follows, or an empty text
+ * @param connectionLimit connections it accepts
+ * @param leaving true when it wants no new work
+ */
+public record InstanceAnnouncement(
+        EndpointId endpoint,
+        GroupId group,
+        HostPort address,
+        String region,
+        String dataCenter,
+        long incarnation,
+        boolean primary,
+        long timeline,
+        String upstream,
+        int connectionLimit,
+        boolean leaving) {}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
@@ -0,0 +1,268 @@
+package org.chivevale.control.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.config.Group;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.ProxyMember;
+
+/**
+ * Who takes part: endpoints by their announcements, proxies by their renewals.
+ *
+ * <p>Invariants: the version grows with every difference and stays with mere renewals; an endpoint
+ * whose announcement ran out serves no reads; a group's primary is only replaced by a failover, so
+ * it is kept when its announcement runs out. Used on the event loop.
+ */
+public final class Membership {
+    private final Configuration configuration;
+    private final Map<String, Announced> instances = new TreeMap<>();
+    private final Map<String, ProxyMemberState> proxies = new TreeMap<>();
+    private long version;
+
+    private record Announced(InstanceAnnouncement announcement, long endNanos) {}
+
+    /**
+     * Creates an empty membership.
+     *
+     * @param configuration names the primaries
+     * @param firstVersion where versions start; must differ between leaders
+     */
+    public Membership(Configuration configuration, long firstVersion) {
+        this.configuration = configuration;
+        this.version = firstVersion;
+    }
+
+    /**
+     * Takes an announcement; an earlier incarnation is ignored.
+     *
+     * @param announcement what was announced
+     * @param endNanos the monotonic time at which it runs out
+     */
+    public void announce(InstanceAnnouncement announcement, long endNanos) {
+        String key = key(announcement.endpoint(), announcement.group());
+        Announced before = instances.get(key);
+        boolean outdated =
+                before != null && before.announcement().incarnation() > announcement.incarnation();
+        if (outdated) {
+            return;
+        }
+        instances.put(key, new Announced(announcement, endNanos));
+        if (before == null || !before.announcement().equals(announcement)) {
+            version++;
+        }
+    }
+
+    private static String key(EndpointId endpoint, GroupId group) {
+        return group + "/" + endpoint;
+    }
+
+    /**
+     * Removes announcements that ran out, but for those of primaries.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void sweep(long nowNanos) {
+        boolean removed =
+                instances
+                        .values()
+                        .removeIf(
+                                announced ->
+                                        nowNanos - announced.endNanos() >= 0
+                                                && !isPrimary(announced.announcement()));
+        if (removed) {
+            version++;
+        }
+    }
+
+    private boolean isPrimary(InstanceAnnouncement announcement) {
+        Group group = configuration.group(announcement.group());
+        return announcement.endpoint().equals(group.primary());
+    }
+
+    /** Notes that the configuration changed, which may change who may serve. */
+    public void configurationChanged() {
+        version++;
+    }
+
+    /**
+     * Takes a proxy's report of itself.
+     *
+     * @param proxy the report
+     * @return false when a later one of the same proxy was taken before
+     */
+    public boolean proxyReported(ProxyMemberState proxy) {
+        ProxyMemberState before = proxies.get(proxy.id());
+        if (before != null) {
+            boolean late =
+                    before.incarnation() > proxy.incarnation()
+                            || before.incarnation() == proxy.incarnation()
+                                    && before.sequence() >= proxy.sequence();
+            if (late) {
+                return false;
+            }
+        }
+        proxies.put(proxy.id(), proxy);
+        boolean moved =
+                before == null
+                        || before.incarnation() != proxy.incarnation()
+                        || !Objects.equals(before.forwardAddress(), proxy.forwardAddress());
+        if (moved) {
+            version++;
+        }
+        return true;
+    }
+
+    /**
+     * Removes a proxy that has left or lost its lease.
+     *
+     * @param proxyId the proxy
+     */
+    public void proxyGone(String proxyId) {
+        if (proxies.remove(proxyId) != null) {
+            version++;
+        }
+    }
+
+    /**
+     * Returns the version of the membership.
+     *
+     * @return grows with every difference
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Lists the proxies.
+     *
+     * @return in the order of their names
+     */
+    public Collection<ProxyMemberState> proxies() {
+        return List.copyOf(proxies.values());
+    }
+
+    /**
+     * Lists the instances of a group that are announced.
+     *
+     * @param group the group
+     * @return in the order of their endpoints
+     */
+    public List<InstanceAnnouncement> instances(GroupId group) {
+        List<InstanceAnnouncement> found = new ArrayList<>();
+        for (Announced announced : instances.values()) {
+            if (announced.announcement().group().equals(group)) {
+                found.add(announced.announcement());
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Lists all announced instances by group.
+     *
+     * @return a new map
+     */
+    public Map<GroupId, List<InstanceAnnouncement>> instancesByGroup() {
+        Map<GroupId, List<InstanceAnnouncement>> byGroup = new HashMap<>();
+        for (Announced announced : instances.values()) {
+            byGroup.computeIfAbsent(announced.announcement().group(), key -> new ArrayList<>())
+                    .add(announced.announcement());
+        }
+        return byGroup;
+    }
+
+    /**
+     * Finds an announced instance.
+     *
+     * @param endpoint the endpoint
+     * @param group the group
+     * @return the announcement, or null
+     */
+    public InstanceAnnouncement instance(EndpointId endpoint, GroupId group) {
+        Announced announced = instances.get(key(endpoint, group));
+        return announced == null ? null : announced.announcement();
+    }
+
+    /**
+     * Tells whether an instance's announcement has not run out.
+     *
+     * @param announcement the instance
+     * @param nowNanos the monotonic time
+     * @return false for a primary that is only kept
+     */
+    public boolean fresh(InstanceAnnouncement announcement, long nowNanos) {
+        Announced announced = instances.get(key(announcement.endpoint(), announcement.group()));
+        return announced != null && nowNanos - announced.endNanos() < 0;
+    }
+
+    /**
+     * Writes the endpoints for proxies.
+     *
+     * @return one message an instance
+     */
+    public List<EndpointMember> endpointMessages() {
+        List<EndpointMember> messages = new ArrayList<>();
+        for (Announced announced : instances.values()) {
+            messages.add(message(announced.announcement()));
+        }
+        return messages;
+    }
+
+    private EndpointMember message(InstanceAnnouncement instance) {
+        return EndpointMember.newBuilder()
+                .setEndpointId(instance.endpoint().value())
+                .setGroupId(instance.group().toString())
+                .setHost(instance.address().host())
+                .setPort(instance.address().port())
+                .setDataCenter(instance.dataCenter())
+                .setRegion(instance.region())
+                .setIncarnation(instance.incarnation())
+                .setTimeline(instance.timeline())
+                .setLeaving(instance.leaving())
+                .setConnectionLimit(instance.connectionLimit())
+                .setInServiceTerm(inServiceTerm(instance))
+                .build();
+    }
+
+    /** Returns the term in which an instance may serve reads; 0 while it may not. */
+    private long inServiceTerm(InstanceAnnouncement instance) {
+        Group group = configuration.group(instance.group());
+        if (group.primary() == null || instance.timeline() != group.term()) {
+            return 0;
+        }
+        if (instance.endpoint().equals(group.primary())) {
+            return instance.primary() ? group.term() : 0;
+        }
+        boolean follows =
+                !instance.primary() && instance.upstream().equals(group.address().toString());
+        return follows && !instance.leaving() ? group.term() : 0;
+    }
+
+    /**
+     * Writes the proxies for proxies.
+     *
+     * @return one message a proxy
+     */
+    public List<ProxyMember> proxyMessages() {
+        List<ProxyMember> messages = new ArrayList<>();
+        for (ProxyMemberState proxy : proxies.values()) {
+            messages.add(
+                    ProxyMember.newBuilder()
+                            .setProxyId(proxy.id())
+                            .setHost(proxy.forwardAddress().host())
+                            .setPort(proxy.forwardAddress().port())
+                            .setIncarnation(proxy.incarnation())
+                            .setDataCenter(proxy.dataCenter())
+                            .build());
+        }
+        return messages;
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
@@ -0,0 +1,95 @@
+package org.chivevale.control.internal.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.Account;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.rate.RateOwner;
+import org.chivevale.wire.proto.RateAnswer;
+import org.chivevale.wire.proto.RateGrant;
+import org.chivevale.wire.proto.RateRequest;
+import org.chivevale.wire.proto.RateWant;
+
+/**
+ * The token buckets that this process owns.
+ *
+ * <p>Used on the event loop.
+ */
+final class RateOwners {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long GRANT_MILLIS = 500;
+    private static final long MARGIN_MILLIS = 100;
+
+    private final Configuration configuration;
+    private final Map<ClientAccountId, Owned> owners = new HashMap<>();
+    private final long firstGrantId;
+
+    private static final class Owned {
+        final RateOwner owner;
+        Account account;
+
+        Owned(RateOwner owner, Account account) {
+            this.owner = owner;
+            this.account = account;
+        }
+    }
+
+    RateOwners(Configuration configuration, long firstGrantId) {
+        this.configuration = configuration;
+        this.firstGrantId = firstGrantId;
+    }
+
+    RateAnswer answer(RateRequest request, long nowNanos) {
+        RateAnswer.Builder answer = RateAnswer.newBuilder();
+        String holder = request.getProxyId() + "/" + request.getIncarnation();
+        for (RateWant want : request.getWantsList()) {
+            answer.addGrants(grant(holder, want, nowNanos));
+        }
+        return answer.build();
+    }
+
+    private RateGrant grant(String holder, RateWant want, long nowNanos) {
+        RateGrant.Builder grant = RateGrant.newBuilder().setAccountId(want.getAccountId());
+        Account account = configuration.account(new ClientAccountId(want.getAccountId()));
+        if (account == null) {
+            owners.remove(new ClientAccountId(want.getAccountId()));
+            return grant.setRetryAfterMillis(GRANT_MILLIS).build();
+        }
+        RateOwner owner = owner(account, nowNanos);
+        for (int i = 0; i < want.getClosedGrantIdsCount(); i++) {
+            owner.close(holder, want.getClosedGrantIds(i), want.getClosedUnused(i), nowNanos);
+        }
+        if (want.getWanted() == 0) {
+            return grant.build();
+        }
+        RateOwner.Granted granted =
+                owner.grant(holder, want.getWanted(), GRANT_MILLIS * NANOS_PER_MILLI, nowNanos);
+        return grant.setGrantId(granted.id())
+                .setTokens(granted.tokens())
+                .setValidMillis(granted.validNanos() / NANOS_PER_MILLI)
+                .setRetryAfterMillis(
+                        (granted.retryAfterNanos() + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI)
+                .build();
+    }
+
+    private RateOwner owner(Account account, long nowNanos) {
+        Owned owned = owners.get(account.id());
+        if (owned == null) {
+            RateOwner owner =
+                    new RateOwner(
+                            account.ratePerSecond(),
+                            account.burst(),
+                            MARGIN_MILLIS * NANOS_PER_MILLI,
+                            firstGrantId,
+                            nowNanos);
+            owners.put(account.id(), new Owned(owner, account));
+            return owner;
+        }
+        if (!owned.account.equals(account)) {
+            owned.account = account;
+            owned.owner.change(account.ratePerSecond(), account.burst(), nowNanos);
+        }
+        return owned.owner;
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/IntentPlanner.java
@@ -0,0 +1,445 @@
+package org.chivevale.control.internal.intent;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.chivevale.control.internal.failover.FailoverChanges;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.Account;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.config.Database;
+import org.chivevale.core.config.Group;
+import org.chivevale.core.config.Operator;
+import org.chivevale.core.config.StoredKey;
+import org.chivevale.core.failover.FailoverPhase;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.statement.StatementKind;
+import org.chivevale.core.statement.StatementPolicy;
+import org.chivevale.core.util.Checks;
+import org.chivevale.wire.proto.AccountPut;
+import org.chivevale.wire.proto.AccountRemoved;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.DatabaseCredentialPut;
+import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.KeyPut;
+import org.chivevale.wire.proto.KeyWithdrawn;
+import org.chivevale.wire.proto.OpenRoutePut;
+import org.chivevale.wire.proto.OpenRouteRemoved;
+import org.chivevale.wire.proto.OperatorPut;
+
+/**
+ * Works out what an intent changes.
+ *
+ * <p>Pure: the same intent on the same configuration gives the same changes, so a plan can be
+ * worked out again when it is confirmed, by whichever process leads then. Not thread safe.
+ */
+final class IntentPlanner {
+    private static final double MAX_RATE = 1e6;
+    private static final int MAX_BURST = 1_000_000;
+    private static final int DEFAULT_OBJECTIVE_MILLIS = 100;
+    private static final int MAX_OBJECTIVE_MILLIS = 600_000;
+    private static final int MAX_ENDPOINTS = 9;
+    private static final int MAX_AGE_MILLIS = 86_400_000;
+
+    private final Configuration configuration;
+
+    IntentPlanner(Configuration configuration) {
+        this.configuration = configuration;
+    }
+
+    PlannedChanges plan(Intent intent) {
+        return switch (intent.kind()) {
+            case "account-create" -> createAccount(intent);
+            case "account-change" -> changeAccount(intent);
+            case "account-remove" -> removeAccount(intent);
+            case "key-create" -> createKey(intent);
+            case "key-withdraw" -> withdrawKey(intent);
+            case "database-create" -> createDatabase(intent);
+            case "database-change" -> changeDatabase(intent);
+            case "credential-replace" -> replaceCredential(intent);
+            case "route-open" -> openRoute(intent);
+            case "route-close" -> closeRoute(intent);
+            case "operator-create" -> createOperator(intent);
+            case "hand-over" -> handOver(intent);
+            case "promote-with-loss" -> promoteWithLoss(intent);
+            default -> throw Intent.invalid("there is no intent '" + intent.kind() + "'");
+        };
+    }
+
+    /** Names the object that an intent changes, as {@code kind:name}. */
+    static String touches(Intent intent) {
+        return switch (intent.kind()) {
+            case "account-create", "account-change", "account-remove" ->
+                    "account:" + intent.text("account");
+            case "key-create", "key-withdraw" -> "key:" + intent.text("key_id");
+            case "database-create", "database-change", "credential-replace" ->
+                    "database:" + intent.text("database");
+            case "route-open", "route-close" -> "route:" + intent.text("name");
+            case "operator-create" -> "operator:" + intent.text("operator");
+            default -> "group:" + intent.text("group");
+        };
+    }
+
+    // ---- client accounts ----
+
+    private PlannedChanges createAccount(Intent intent) {
+        intent.allow(
+                Set.of("account", "rate_per_second", "burst", "databases", "latency_objective_ms"));
+        ClientAccountId id = new ClientAccountId(intent.text("account"));
+        if (configuration.account(id) != null) {
+            throw Intent.invalid("client account '" + id + "' is there already");
+        }
+        return account(
+                id,
+                intent.decimal("rate_per_second", 0.001, MAX_RATE),
+                intent.number("burst", 1, MAX_BURST),
+                intent.texts("databases"),
+                intent.number(
+                        "latency_objective_ms", DEFAULT_OBJECTIVE_MILLIS, 1, MAX_OBJECTIVE_MILLIS),
+                "create client account ",
+                intent);
+    }
+
+    private PlannedChanges changeAccount(Intent intent) {
+        intent.allow(
+                Set.of("account", "rate_per_second", "burst", "databases", "latency_objective_ms"));
+        Account before = requireAccount(intent.text("account"));
+        return account(
+                before.id(),
+                intent.decimal("rate_per_second", before.ratePerSecond(), 0.001, MAX_RATE),
+                intent.number("burst", before.burst(), 1, MAX_BURST),
+                intent.has("databases")
+                        ? intent.texts("databases")
+                        : List.copyOf(before.databases()),
+                intent.number(
+                        "latency_objective_ms",
+                        before.latencyObjectiveMillis(),
+                        1,
+                        MAX_OBJECTIVE_MILLIS),
+                "change client account ",
+                intent);
+    }
+
+    private PlannedChanges account(
+            ClientAccountId id,
+            double ratePerSecond,
+            int burst,
+            List<String> databases,
+            int objectiveMillis,
+            String verb,
+            Intent intent) {
+        databases.forEach(this::requireDatabase);
+        List<String> sorted = new ArrayList<>(Set.copyOf(databases));
+        sorted.sort(null);
+        AccountPut put =
+                AccountPut.newBuilder()
+                        .setAccountId(id.value())
+                        .setRatePerSecond(ratePerSecond)
+                        .setBurst(burst)
+                        .addAllDatabases(sorted)
+                        .setLatencyObjectiveMillis(objectiveMillis)
+                        .build();
+        return PlannedChanges.of(
+                Change.newBuilder().setAccountPut(put),
+                verb
+                        + id
+                        + ": rate "
+                        + ratePerSecond
+                        + "/s, burst "
+                        + burst
+                        + ", databases "
+                        + sorted
+                        + ", objective "
+                        + objectiveMillis
+                        + " ms",
+                touches(intent));
+    }
+
+    private PlannedChanges removeAccount(Intent intent) {
+        intent.allow(Set.of("account"));
+        Account account = requireAccount(intent.text("account"));
+        long keys =
+                configuration.keys().stream()
+                        .filter(key -> key.account().equals(account.id()))
+                        .count();
+        AccountRemoved removed =
+                AccountRemoved.newBuilder().setAccountId(account.id().value()).build();
+        return PlannedChanges.of(
+                Change.newBuilder().setAccountRemoved(removed),
+                "remove client account " + account.id() + " with its " + keys + " keys",
+                touches(intent));
+    }
+
+    private Account requireAccount(String name) {
+        Account account = configuration.account(new ClientAccountId(name));
+        if (account == null) {
+            throw Intent.invalid("there is no client account '" + name + "'");
+        }
+        return account;
+    }
+
+    // ---- keys ----
+
+    private PlannedChanges createKey(Intent intent) {
+        intent.allow(Set.of("account", "key_id", "key_hash"));
+        Account account = requireAccount(intent.text("account"));
+        String keyId = intent.text("key_id");
+        if (configuration.key(keyId) != null) {
+            throw Intent.invalid("key " + keyId + " is there already");
+        }
+        KeyPut put =
+                KeyPut.newBuilder()
+                        .setKeyId(keyId)
+                        .setAccountId(account.id().value())
+                        .setHash(hash(intent))
+                        .build();
+        return PlannedChanges.of(
+                Change.newBuilder().setKeyPut(put),
+                "create key " + keyId + " of client account " + account.id(),
+                touches(intent));
+    }
+
+    private static ByteString hash(Intent intent) {
+        try {
+            return ByteString.copyFrom(HexFormat.of().parseHex(intent.text("key_hash")));
+        } catch (IllegalArgumentException e) {
+            throw Intent.invalid("field 'key_hash' is not hexadecimal");
+        }
+    }
+
+    private PlannedChanges withdrawKey(Intent intent) {
+        intent.allow(Set.of("key_id"));
+        String keyId = intent.text("key_id");
+        StoredKey key = configuration.key(keyId);
+        if (key == null) {
+            throw Intent.invalid("there is no key " + keyId);
+        }
+        return PlannedChanges.of(
+                Change.newBuilder().setKeyWithdrawn(KeyWithdrawn.newBuilder().setKeyId(keyId)),
+                "withdraw key " + keyId + " of client account " + key.account(),
+                touches(intent));
+    }
+
+    // ---- databases ----
+
+    private PlannedChanges createDatabase(Intent intent) {
+        intent.allow(
+                Set.of(
+                        "database",
+                        "slots",
+                        "endpoints_per_group",
+                        "acknowledge",
+                        "key_id",
+                        "key_hash"));
+        String name = Checks.name("database", intent.text("database"));
+        if (configuration.database(name) != null) {
+            throw Intent.invalid("database '" + name + "' is there already");
+        }
+        int slots = intent.number("slots", 1, GroupId.MAX_SLOTS);
+        int endpoints = intent.number("endpoints_per_group", 1, MAX_ENDPOINTS);
+        boolean quorum = byQuorum(intent.text("acknowledge", "quorum"));
+        DatabaseCredentialPut credential = credential(name, intent);
+        return new PlannedChanges(
+                List.of(
+                        database(name, slots, endpoints, quorum),
+                        Change.newBuilder().setDatabaseCredentialPut(credential).build()),
+                List.of(
+                        "create database "
+                                + name
+                                + ": "
+                                + slots
+                                + " slots, "
+                                + endpoints
+                                + " endpoints a group, acknowledged by "
+                                + (quorum ? "quorum" : "primary"),
+                        "create the announcement credential of database " + name),
+                List.of(touches(intent)));
+    }
+
+    private static DatabaseCredentialPut credential(String database, Intent intent) {
+        return DatabaseCredentialPut.newBuilder()
+                .setDatabase(database)
+                .setHash(hash(intent))
+                .build();
+    }
+
+    private static boolean byQuorum(String text) {
+        return switch (text) {
+            case "quorum" -> true;
+            case "primary" -> false;
+            default -> throw Intent.invalid("field 'acknowledge' must be quorum or primary");
+        };
+    }
+
+    private static Change database(String name, int slots, int endpoints, boolean quorum) {
+        return Change.newBuilder()
+                .setDatabasePut(
+                        DatabasePut.newBuilder()
+                                .setDatabase(name)
+                                .setSlots(slots)
+                                .setEndpointsPerGroup(endpoints)
+                                .setAcknowledgeByQuorum(quorum))
+                .build();
+    }
+
+    private PlannedChanges changeDatabase(Intent intent) {
+        intent.allow(Set.of("database", "endpoints_per_group", "acknowledge"));
+        Database before = requireDatabase(intent.text("database"));
+        int endpoints =
+                intent.number("endpoints_per_group", before.endpointsPerGroup(), 1, MAX_ENDPOINTS);
+        boolean quorum =
+                byQuorum(
+                        intent.text(
+                                "acknowledge",
+                                before.acknowledgeByQuorum() ? "quorum" : "primary"));
+        return PlannedChanges.of(
+                database(before.name(), before.slots(), endpoints, quorum).toBuilder(),
+                "change database "
+                        + before.name()
+                        + ": "
+                        + endpoints
+                        + " endpoints a group, acknowledged by "
+                        + (quorum ? "quorum" : "primary"),
+                touches(intent));
+    }
+
+    private PlannedChanges replaceCredential(Intent intent) {
+        intent.allow(Set.of("database", "key_id", "key_hash"));
+        Database database = requireDatabase(intent.text("database"));
+        return PlannedChanges.of(
+                Change.newBuilder().setDatabaseCredentialPut(credential(database.name(), intent)),
+                "replace the announcement credential of database " + database.name(),
+                touches(intent));
+    }
+
+    private Database requireDatabase(String name) {
+        Database database = configuration.database(name);
+        if (database == null) {
+            throw Intent.invalid("there is no database '" + name + "'");
+        }
+        return database;
+    }
+
+    // ---- open routes and operators ----
+
+    private PlannedChanges openRoute(Intent intent) {
+        intent.allow(Set.of("name", "database", "account", "sql", "accepted_age_ms"));
+        String name = Checks.name("route", intent.text("name"));
+        Database database = requireDatabase(intent.text("database"));
+        Account account = requireAccount(intent.text("account"));
+        String sql = intent.text("sql");
+        if (StatementPolicy.classify(sql) != StatementKind.READ) {
+            throw Intent.invalid("the statement of an open route must be a read");
+        }
+        if (!account.databases().contains(database.name())) {
+            throw Intent.invalid(account.id() + " has no access to database " + database.name());
+        }
+        OpenRoutePut put =
+                OpenRoutePut.newBuilder()
+                        .setName(name)
+                        .setDatabase(database.name())
+                        .setAccountId(account.id().value())
+                        .setSql(sql)
+                        .setAcceptedAgeMillis(intent.number("accepted_age_ms", 0, MAX_AGE_MILLIS))
+                        .build();
+        return PlannedChanges.of(
+                Change.newBuilder().setOpenRoutePut(put),
+                "open route " + name + " to everybody, with the rights of " + account.id(),
+                touches(intent));
+    }
+
+    private PlannedChanges closeRoute(Intent intent) {
+        intent.allow(Set.of("name"));
+        String name = intent.text("name");
+        if (configuration.openRoute(name) == null) {
+            throw Intent.invalid("there is no open route '" + name + "'");
+        }
+        return PlannedChanges.of(
+                Change.newBuilder()
+                        .setOpenRouteRemoved(OpenRouteRemoved.newBuilder().setName(name)),
+                "close route " + name,
+                touches(intent));
+    }
+
+    private PlannedChanges createOperator(Intent intent) {
+        intent.allow(Set.of("operator", "role", "key_id", "key_hash"));
+        String name = Checks.name("operator", intent.text("operator"));
+        Operator.Role role = role(intent.text("role"));
+        OperatorPut put =
+                OperatorPut.newBuilder()
+                        .setOperatorId(name)
+                        .setKeyId(intent.text("key_id"))
+                        .setHash(hash(intent))
+                        .setRole(role.name())
+                        .build();
+        return PlannedChanges.of(
+                Change.newBuilder().setOperatorPut(put),
+                "set operator " + name + " with role " + role,
+                touches(intent));
+    }
+
+    private static Operator.Role role(String text) {
+        try {
+            return Operator.Role.valueOf(text.toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            throw Intent.invalid("field 'role' must be read, change or all");
+        }
+    }
+
+    // ---- database groups ----
+
+    private PlannedChanges handOver(Intent intent) {
+        intent.allow(Set.of("group", "to"));
+        Group group = requireGroup(intent);
+        if (group.primary() == null) {
+            throw Intent.invalid("group " + group.id() + " has no primary to hand over");
+        }
+        String to = intent.text("to", "");
+        if (!to.isEmpty() && new EndpointId(to).equals(group.primary())) {
+            throw Intent.invalid(to + " is the primary of group " + group.id() + " already");
+        }
+        return new PlannedChanges(
+                FailoverChanges.fence(
+                        group, "an operator's hand-over", true, to, FailoverPhase.FENCING),
+                List.of(
+                        "hand group "
+                                + group.id()
+                                + " over from "
+                                + group.primary()
+                                + (to.isEmpty() ? " to a replica" : " to " + to)),
+                List.of(touches(intent)));
+    }
+
+    private PlannedChanges promoteWithLoss(Intent intent) {
+        intent.allow(Set.of("group"));
+        Group group = requireGroup(intent);
+        if (group.primary() != null) {
+            throw Intent.invalid("group " + group.id() + " has a primary");
+        }
+        return new PlannedChanges(
+                FailoverChanges.fence(
+                        group,
+                        "an operator accepts a loss",
+                        false,
+                        "",
+                        FailoverPhase.FENCING_WITH_LOSS),
+                List.of(
+                        "promote whichever member of group "
+                                + group.id()
+                                + " answers; ACKNOWLEDGED WRITES MAY BE LOST"),
+                List.of(touches(intent)));
+    }
+
+    private Group requireGroup(Intent intent) {
+        GroupId id = GroupId.parse(intent.text("group"));
+        Database database = requireDatabase(id.database());
+        if (id.slot() >= database.slots()) {
+            throw Intent.invalid("database " + database.name() + " has no slot " + id.slot());
+        }
+        return configuration.group(id);
+    }
+}
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/package-info.java
@@ -0,0 +1,2 @@
+/** Intents, plans and confirmations. */
+package org.chivevale.control.internal.intent;
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control process. */
+package org.chivevale.control;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts and their keys. */
+package org.chivevale.core.account;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/ConnectionShares.java
@@ -0,0 +1,111 @@
+package org.chivevale.core.admission;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Divides the connection limit of one endpoint instance among proxies.
+ *
+ * <p>Invariant: the shares that proxies may be using never add up to more than the limit. A smaller
+ * share counts as free only once its proxy has acknowledged it or has lost its lease. Not thread
+ * safe.
+ */
+public final class ConnectionShares {
+    private final Map<String, Share> shares = new TreeMap<>();
+    private final int floor;
+    private int limit;
+
+    private static final class Share {
+        int granted;
+        int mayUse;
+        int wanted;
+    }
+
+    /**
+     * Creates a division without proxies.
+     *
+     * @param limit connections that the endpoint accepts
+     * @param floor what each proxy gets as long as the limit allows
+     */
+    public ConnectionShares(int limit, int floor) {
+        this.limit = limit;
+        this.floor = floor;
+    }
+
+    /**
+     * Changes the limit; it takes effect as proxies acknowledge.
+     *
+     * @param newLimit connections that the endpoint accepts
+     */
+    public void changeLimit(int newLimit) {
+        limit = newLimit;
+    }
+
+    /**
+     * Takes a proxy's report and returns its share.
+     *
+     * @param proxy who reports
+     * @param wanted how many connections it could use
+     * @param inForce the share that it keeps to
+     * @return its share from now on
+     */
+    public int report(String proxy, int wanted, int inForce) {
+        Share share = shares.computeIfAbsent(proxy, key -> new Share());
+        share.wanted = Math.max(floor, wanted);
+        if (inForce <= share.granted) {
+            share.mayUse = share.granted;
+        }
+        int target = target(proxy);
+        if (target < share.granted) {
+            share.granted = target;
+        } else {
+            int free = limit - committedWithout(proxy);
+            share.granted = Math.max(0, Math.min(target, free));
+            share.mayUse = Math.max(share.mayUse, share.granted);
+        }
+        return share.granted;
+    }
+
+    /**
+     * Frees the share of a proxy whose lease has run out.
+     *
+     * @param proxy who is gone
+     */
+    public void remove(String proxy) {
+        shares.remove(proxy);
+    }
+
+    /**
+     * Returns the connections that proxies may be using.
+     *
+     * @return never above the limit, unless the limit was lowered
+     */
+    public int committed() {
+        return committedWithout(null);
+    }
+
+    private int committedWithout(String proxy) {
+        int sum = 0;
+        for (Map.Entry<String, Share> entry : shares.entrySet()) {
+            if (!entry.getKey().equals(proxy)) {
+                sum += Math.max(entry.getValue().mayUse, entry.getValue().granted);
+            }
+        }
+        return sum;
+    }
+
+    private int target(String proxy) {
+        int base = Math.min(floor, limit / Math.max(1, shares.size()));
+        int spare = limit - base * shares.size();
+        int wantedAbove = 0;
+        for (Share share : shares.values()) {
+            wantedAbove += Math.max(0, share.wanted - base);
+        }
+        int above = Math.max(0, shares.get(proxy).wanted - base);
+        if (wantedAbove <= spare) {
+            int idle = (spare - wantedAbove) / Math.max(1, shares.size());
+            return base + above + idle;
+        }
+        return base + (int) ((long) spare * above / wantedAbove);
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Waiting for connections, and the shares of them. */
+package org.chivevale.core.admission;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Account.java
@@ -0,0 +1,26 @@
+package org.chivevale.core.config;
+
+import java.util.Set;
+import org.chivevale.core.account.ClientAccountId;
+
+/**
+ * A client account as operators have set it.
+ *
+ * <p>Immutable.
+ *
+ * @param id the account
+ * @param ratePerSecond requests a second over all proxies
+ * @param burst requests that may come at once over all proxies
+ * @param databases names of the databases it may use
+ * @param latencyObjectiveMillis answers within this time count as served well
+ */
+public record Account(
+        ClientAccountId id,
+        double ratePerSecond,
+        int burst,
+        Set<String> databases,
+        int latencyObjectiveMillis) {
+    public Account {
+        databases = Set.copyOf(databases);
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -0,0 +1,434 @@
+package org.chivevale.core.config;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.account.ClientKey;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.wire.proto.AccountPut;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.ConfigurationSnapshot;
+import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.FailoverStep;
+import org.chivevale.wire.proto.GroupState;
+import org.chivevale.wire.proto.KeyPut;
+import org.chivevale.wire.proto.LogEntry;
+import org.chivevale.wire.proto.OpenRoutePut;
+import org.chivevale.wire.proto.OperatorPut;
+import org.chivevale.wire.proto.PlanStored;
+
+/**
+ * The configuration that the accepted log entries add up to.
+ *
+ * <p>Invariants: the version only grows; the same entries give the same configuration in every
+ * process; removing a client account removes its keys. Not thread safe.
+ */
+public final class Configuration {
+    private static final int PLANS_KEPT = 1000;
+
+    private long version;
+    private final Map<String, Account> accounts = new TreeMap<>();
+    private final Map<String, StoredKey> keys = new HashMap<>();
+    private final Map<String, Database> databases = new TreeMap<>();
+    private final Map<String, byte[]> credentials = new TreeMap<>();
+    private final Map<String, Group> groups = new TreeMap<>();
+    private final Map<String, OpenRoute> openRoutes = new TreeMap<>();
+    private final Map<String, Operator> operators = new TreeMap<>();
+    private final Map<String, FailoverStep> failovers = new TreeMap<>();
+    private final Map<String, PlanStored> plans = new LinkedHashMap<>();
+    private byte[] sessionSecret = new byte[0];
+
+    /**
+     * Applies the next entry.
+     *
+     * @param entry must have the version after the current one
+     * @throws IllegalStateException when an entry was left out
+     */
+    public void apply(LogEntry entry) {
+        if (entry.getVersion() <= version) {
+            return;
+        }
+        if (entry.getVersion() != version + 1) {
+            throw new IllegalStateException(
+                    "entry " + entry.getVersion() + " after version " + version);
+        }
+        entry.getChangesList().forEach(this::apply);
+        version = entry.getVersion();
+    }
+
+    /**
+     * Replaces everything with a snapshot.
+     *
+     * @param snapshot a result of {@link #snapshot}
+     */
+    public void restore(ConfigurationSnapshot snapshot) {
+        if (snapshot.getVersion() < version) {
+            return;
+        }
+        accounts.clear();
+        keys.clear();
+        databases.clear();
+        credentials.clear();
+        groups.clear();
+        openRoutes.clear();
+        operators.clear();
+        failovers.clear();
+        plans.clear();
+        snapshot.getChangesList().forEach(this::apply);
+        version = snapshot.getVersion();
+    }
+
+    private void apply(Change change) {
+        switch (change.getKindCase()) {
+            case ACCOUNT_PUT -> putAccount(change.getAccountPut());
+            case ACCOUNT_REMOVED -> removeAccount(change.getAccountRemoved().getAccountId());
+            case KEY_PUT -> putKey(change.getKeyPut());
+            case KEY_WITHDRAWN -> keys.remove(change.getKeyWithdrawn().getKeyId());
+            case DATABASE_PUT -> putDatabase(change.getDatabasePut());
+            case DATABASE_CREDENTIAL_PUT ->
+                    credentials.put(
+                            change.getDatabaseCredentialPut().getDatabase(),
+                            change.getDatabaseCredentialPut().getHash().toByteArray());
+            case GROUP_STATE -> putGroup(change.getGroupState());
+            case SESSION_SECRET_PUT ->
+                    sessionSecret = change.getSessionSecretPut().getSecret().toByteArray();
+            case OPEN_ROUTE_PUT -> putOpenRoute(change.getOpenRoutePut());
+            case OPEN_ROUTE_REMOVED -> openRoutes.remove(change.getOpenRouteRemoved().getName());
+            case FAILOVER_STEP -> putFailover(change.getFailoverStep());
+            case OPERATOR_PUT -> putOperator(change.getOperatorPut());
+            case PLAN_STORED -> putPlan(change.getPlanStored());
+            default -> throw new IllegalStateException("change " + change.getKindCase());
+        }
+    }
+
+    private void putAccount(AccountPut put) {
+        ClientAccountId id = new ClientAccountId(put.getAccountId());
+        accounts.put(
+                id.value(),
+                new Account(
+                        id,
+                        put.getRatePerSecond(),
+                        put.getBurst(),
+                        Set.copyOf(put.getDatabasesList()),
+                        put.getLatencyObjectiveMillis()));
+    }
+
+    private void removeAccount(String accountId) {
+        accounts.remove(accountId);
+        keys.values().removeIf(key -> key.account().value().equals(accountId));
+        openRoutes.values().removeIf(route -> route.account().value().equals(accountId));
+    }
+
+    private void putKey(KeyPut put) {
+        ClientAccountId account = new ClientAccountId(put.getAccountId());
+        keys.put(
+                put.getKeyId(),
+                new StoredKey(put.getKeyId(), account, put.getHash().toByteArray()));
+    }
+
+    private void putDatabase(DatabasePut put) {
+        databases.put(
+                put.getDatabase(),
+                new Database(
+                        put.getDatabase(),
+                        put.getSlots(),
+                        put.getAcknowledgeByQuorum(),
+                        put.getEndpointsPerGroup()));
+    }
+
+    private void putGroup(GroupState state) {
+        GroupId id = GroupId.parse(state.getGroupId());
+        Map<Long, Long> starts = new HashMap<>();
+        Group before = groups.get(id.toString());
+        if (before != null) {
+            starts.putAll(before.startPositions());
+        }
+        if (state.getStartPosition() > 0) {
+            starts.put(state.getTerm(), state.getStartPosition());
+        }
+        String primary = state.getPrimaryEndpointId();
+        groups.put(
+                id.toString(),
+                new Group(
+                        id,
+                        state.getTerm(),
+                        primary.isEmpty() ? null : new EndpointId(primary),
+                        primary.isEmpty()
+                                ? null
+                                : new HostPort(state.getPrimaryHost(), state.getPrimaryPort()),
+                        starts));
+    }
+
+    private void putOpenRoute(OpenRoutePut put) {
+        openRoutes.put(
+                put.getName(),
+                new OpenRoute(
+                        put.getName(),
+                        put.getDatabase(),
+                        new ClientAccountId(put.getAccountId()),
+                        put.getSql(),
+                        put.getAcceptedAgeMillis()));
+    }
+
+    private void putFailover(FailoverStep step) {
+        if (step.getPhase().isEmpty()) {
+            failovers.remove(step.getGroupId());
+        } else {
+            failovers.put(step.getGroupId(), step);
+        }
+    }
+
+    private void putOperator(OperatorPut put) {
+        operators.put(
+                put.getOperatorId(),
+                new Operator(
+                        put.getOperatorId(),
+                        put.getKeyId(),
+                        put.getHash().toByteArray(),
+                        Operator.Role.valueOf(put.getRole())));
+    }
+
+    private void putPlan(PlanStored plan) {
+        plans.put(plan.getPlanId(), plan);
+        while (plans.size() > PLANS_KEPT) {
+            plans.remove(plans.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Finds whose key a caller sent.
+     *
+     * @param text the key as sent, or null
+     * @return the stored key
+     * @throws ChivevaleException with KEY_MISSING or KEY_REFUSED
+     */
+    public StoredKey authenticate(String text) {
+        if (text == null || text.isEmpty()) {
+            throw new ChivevaleException(ResultCode.KEY_MISSING, "no key was sent");
+        }
+        ClientKey sent = ClientKey.parse(text);
+        StoredKey stored = keys.get(sent.id());
+        if (stored == null || !sent.matches(stored.hash())) {
+            throw new ChivevaleException(
+                    ResultCode.KEY_REFUSED, "key " + sent.id() + " is unknown or withdrawn");
+        }
+        return stored;
+    }
+
+    /**
+     * Returns the version of the last entry applied.
+     *
+     * @return 0 before the first
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Finds a client account.
+     *
+     * @param id its id
+     * @return the account, or null
+     */
+    public Account account(ClientAccountId id) {
+        return accounts.get(id.value());
+    }
+
+    /**
+     * Lists the client accounts by name.
+     *
+     * @return a read-only view
+     */
+    public Collection<Account> accounts() {
+        return Collections.unmodifiableCollection(accounts.values());
+    }
+
+    /**
+     * Finds a key that was not withdrawn.
+     *
+     * @param keyId its public id
+     * @return the key, or null
+     */
+    public StoredKey key(String keyId) {
+        return keys.get(keyId);
+    }
+
+    /**
+     * Lists the keys that were not withdrawn.
+     *
+     * @return a read-only view
+     */
+    public Collection<StoredKey> keys() {
+        return Collections.unmodifiableCollection(keys.values());
+    }
+
+    /**
+     * Finds a database.
+     *
+     * @param name its name
+     * @return the database, or null
+     */
+    public Database database(String name) {
+        return databases.get(name);
+    }
+
+    /**
+     * Lists the databases by name.
+     *
+     * @return a read-only view
+     */
+    public Collection<Database> databases() {
+        return Collections.unmodifiableCollection(databases.values());
+    }
+
+    /**
+     * Finds the hash of a database's announcement credential.
+     *
+     * @param database the database's name
+     * @return the hash, or null
+     */
+    public byte[] credentialHash(String database) {
+        return credentials.get(database);
+    }
+
+    /**
+     * Finds a group.
+     *
+     * @param id the group
+     * @return its state, with term 0 before the first primary
+     */
+    public Group group(GroupId id) {
+        return groups.getOrDefault(id.toString(), new Group(id, 0, null, null, Map.of()));
+    }
+
+    /**
+     * Lists the groups that have had a primary.
+     *
+     * @return a read-only view
+     */
+    public Collection<Group> groups() {
+        return Collections.unmodifiableCollection(groups.values());
+    }
+
+    /**
+     * Finds an open route.
+     *
+     * @param name its name
+     * @return the route, or null
+     */
+    public OpenRoute openRoute(String name) {
+        return openRoutes.get(name);
+    }
+
+    /**
+     * Lists the open routes by name.
+     *
+     * @return a read-only view
+     */
+    public Collection<OpenRoute> openRoutes() {
+        return Collections.unmodifiableCollection(openRoutes.values());
+    }
+
+    /**
+     * Finds an operator.
+     *
+     * @param id the operator's name
+     * @return the operator, or null
+     */
+    public Operator operator(String id) {
+        return operators.get(id);
+    }
+
+    /**
+     * Finds which operator sent a key.
+     *
+     * @param text the key as sent, or null
+     * @return the operator
+     * @throws ChivevaleException with OPERATOR_REFUSED when there is none
+     */
+    public Operator authenticateOperator(String text) {
+        if (text != null && !text.isEmpty()) {
+            ClientKey sent = ClientKey.parse(text);
+            for (Operator operator : operators.values()) {
+                if (operator.keyId().equals(sent.id()) && sent.matches(operator.hash())) {
+                    return operator;
+                }
+            }
+        }
+        throw new ChivevaleException(ResultCode.OPERATOR_REFUSED, "no such operator's key");
+    }
+
+    /**
+     * Lists the operators by name.
+     *
+     * @return a read-only view
+     */
+    public Collection<Operator> operators() {
+        return Collections.unmodifiableCollection(operators.values());
+    }
+
+    /**
+     * Lists the replacements of primaries under way, by group.
+     *
+     * @return a read-only view
+     */
+    public Map<String, FailoverStep> failovers() {
+        return Collections.unmodifiableMap(failovers);
+    }
+
+    /**
+     * Lists the confirmed plans that are kept.
+     *
+     * @return a read-only view, oldest first
+     */
+    public Collection<PlanStored> plans() {
+        return Collections.unmodifiableCollection(plans.values());
+    }
+
+    /**
+     * Lists the hashes of the databases' announcement credentials.
+     *
+     * @return a read-only view by database
+     */
+    public Map<String, byte[]> credentialHashes() {
+        return Collections.unmodifiableMap(credentials);
+    }
+
+    /**
+     * Finds a confirmed plan with the answer it got.
+     *
+     * @param planId the plan
+     * @return the plan, or null
+     */
+    public PlanStored plan(String planId) {
+        return plans.get(planId);
+    }
+
+    /**
+     * Returns the secret that authenticates session tokens.
+     *
+     * @return empty before the first entry
+     */
+    public byte[] sessionSecret() {
+        return sessionSecret.clone();
+    }
+
+    /**
+     * Returns everything as changes that rebuild it.
+     *
+     * @param forProxy true to leave out what proxies have no use for
+     * @return the snapshot
+     */
+    public ConfigurationSnapshot snapshot(boolean forProxy) {
+        return new ConfigurationWriter(this, forProxy).call();
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
@@ -0,0 +1,141 @@
+package org.chivevale.core.config;
+
+import com.google.protobuf.ByteString;
+import java.util.Map;
+import java.util.TreeMap;
+import org.chivevale.wire.proto.AccountPut;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.ConfigurationSnapshot;
+import org.chivevale.wire.proto.DatabaseCredentialPut;
+import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.GroupState;
+import org.chivevale.wire.proto.KeyPut;
+import org.chivevale.wire.proto.OpenRoutePut;
+import org.chivevale.wire.proto.OperatorPut;
+import org.chivevale.wire.proto.SessionSecretPut;
+
+/**
+ * Writes a configuration as the changes that rebuild it.
+ *
+ * <p>Invariant: restoring the result gives an equal configuration. Not thread safe.
+ */
+final class ConfigurationWriter {
+    private final Configuration source;
+    private final boolean forProxy;
+    private final ConfigurationSnapshot.Builder out = ConfigurationSnapshot.newBuilder();
+
+    ConfigurationWriter(Configuration source, boolean forProxy) {
+        this.source = source;
+        this.forProxy = forProxy;
+    }
+
+    ConfigurationSnapshot call() {
+        out.setVersion(source.version());
+        out.addChanges(
+                Change.newBuilder()
+                        .setSessionSecretPut(
+                                SessionSecretPut.newBuilder()
+                                        .setSecret(ByteString.copyFrom(source.sessionSecret()))));
+        source.databases().forEach(this::write);
+        source.accounts().forEach(this::write);
+        source.keys().forEach(this::write);
+        source.groups().forEach(this::write);
+        source.openRoutes().forEach(this::write);
+        if (!forProxy) {
+            writeControlOnly();
+        }
+        return out.build();
+    }
+
+    private void writeControlOnly() {
+        for (Map.Entry<String, byte[]> entry : source.credentialHashes().entrySet()) {
+            out.addChanges(
+                    Change.newBuilder()
+                            .setDatabaseCredentialPut(
+                                    DatabaseCredentialPut.newBuilder()
+                                            .setDatabase(entry.getKey())
+                                            .setHash(ByteString.copyFrom(entry.getValue()))));
+        }
+        for (Operator operator : source.operators()) {
+            out.addChanges(
+                    Change.newBuilder()
+                            .setOperatorPut(
+                                    OperatorPut.newBuilder()
+                                            .setOperatorId(operator.id())
+                                            .setKeyId(operator.keyId())
+                                            .setHash(ByteString.copyFrom(operator.hash()))
+                                            .setRole(operator.role().name())));
+        }
+        source.failovers()
+                .values()
+                .forEach(step -> out.addChanges(Change.newBuilder().setFailoverStep(step)));
+        source.plans().forEach(plan -> out.addChanges(Change.newBuilder().setPlanStored(plan)));
+    }
+
+    private void write(Database database) {
+        out.addChanges(
+                Change.newBuilder()
+                        .setDatabasePut(
+                                DatabasePut.newBuilder()
+                                        .setDatabase(database.name())
+                                        .setSlots(database.slots())
+                                        .setAcknowledgeByQuorum(database.acknowledgeByQuorum())
+                                        .setEndpointsPerGroup(database.endpointsPerGroup())));
+    }
+
+    private void write(Account account) {
+        out.addChanges(
+                Change.newBuilder()
+                        .setAccountPut(
+                                AccountPut.newBuilder()
+                                        .setAccountId(account.id().value())
+                                        .setRatePerSecond(account.ratePerSecond())
+                                        .setBurst(account.burst())
+                                        .addAllDatabases(account.databases())
+                                        .setLatencyObjectiveMillis(
+                                                account.latencyObjectiveMillis())));
+    }
+
+    private void write(StoredKey key) {
+        out.addChanges(
+                Change.newBuilder()
+                        .setKeyPut(
+                                KeyPut.newBuilder()
+                                        .setKeyId(key.id())
+                                        .setAccountId(key.account().value())
+                                        .setHash(ByteString.copyFrom(key.hash()))));
+    }
+
+    private void write(Group group) {
+        for (Map.Entry<Long, Long> start : new TreeMap<>(group.startPositions()).entrySet()) {
+            out.addChanges(state(group, start.getKey(), start.getValue()));
+        }
+        out.addChanges(state(group, group.term(), 0));
+    }
+
+    private static Change.Builder state(Group group, long term, long startPosition) {
+        GroupState.Builder state =
+                GroupState.newBuilder()
+                        .setGroupId(group.id().toString())
+                        .setTerm(term)
+                        .setStartPosition(startPosition);
+        if (group.primary() != null) {
+            state.setPrimaryEndpointId(group.primary().value())
+                    .setPrimaryHost(group.address().host())
+                    .setPrimaryPort(group.address().port());
+        }
+        return Change.newBuilder().setGroupState(state);
+    }
+
+    private void write(OpenRoute route) {
+        out.addChanges(
+                Change.newBuilder()
+                        .setOpenRoutePut(
+                                OpenRoutePut.newBuilder()
+                                        .setName(route.name())
+                                        .setDatabase(route.database())
+                                        .setAccountId(route.account().value())
+                                        .setSql(route.sql())
+                                        .setAcceptedAgeMillis(route.acceptedAgeMillis())));
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
@@ -0,0 +1,42 @@
+package org.chivevale.core.config;
+
+/**
+ * A database as operators have set it.
+ *
+ * <p>Immutable.
+ *
+ * @param name the database's name
+ * @param slots how many groups it is split into
+ * @param acknowledgeByQuorum true when a write is acknowledged once a majority of the group's
+ *     endpoints hold it, false when the primary alone is enough
+ * @param endpointsPerGroup how many endpoints hold a copy of each group
+ */
+public record Database(String name, int slots, boolean acknowledgeByQuorum, int endpointsPerGroup) {
+    /**
+     * Returns how many members must answer before a promotion, so that one of them holds every
+     * write that a quorum held.
+     *
+     * @return the smallest number that meets every quorum
+     */
+    public int answersForPromotion() {
+        return endpointsPerGroup - quorum() + 1;
+    }
+
+    /**
+     * Returns how many endpoints must hold a write.
+     *
+     * @return a majority of the group's endpoints
+     */
+    public int quorum() {
+        return endpointsPerGroup / 2 + 1;
+    }
+
+    /**
+     * Returns how many replicas must hold a write before it is acknowledged.
+     *
+     * @return 0 when the primary alone is enough
+     */
+    public int replicasForAcknowledgement() {
+        return acknowledgeByQuorum ? quorum() - 1 : 0;
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration that operators have set. */
+package org.chivevale.core.config;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/errors/package-info.java
@@ -0,0 +1,2 @@
+/** Failures with numbered codes. */
+package org.chivevale.core.errors;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/package-info.java
@@ -0,0 +1,2 @@
+/** Replacing a primary. */
+package org.chivevale.core.failover;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/group/package-info.java
@@ -0,0 +1,2 @@
+/** Database groups, endpoints and log positions. */
+package org.chivevale.core.group;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/kernel/package-info.java
@@ -0,0 +1,2 @@
+/** The micro-kernel that starts and stops services. */
+package org.chivevale.core.kernel;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Rates and bursts over all proxies together. */
+package org.chivevale.core.rate;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/route/ReadChoice.java
@@ -0,0 +1,14 @@
+package org.chivevale.core.route;
+
+import org.chivevale.core.group.EndpointId;
+
+/**
+ * Where a read goes.
+ *
+ * <p>Immutable.
+ *
+ * @param endpoint the endpoint
+ * @param primary true for the primary
+ * @param waitNanos how long to wait before sending, so that the replica has caught up
+ */
+public record ReadChoice(EndpointId endpoint, boolean primary, long waitNanos) {}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Where a read goes. */
+package org.chivevale.core.route;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** Session tokens: what a caller must see. */
+package org.chivevale.core.session;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
@@ -0,0 +1,239 @@
+package org.chivevale.core.settings;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+
+/**
+ * Reads a TOML file of settings and checks each value.
+ *
+ * <p>Contract: read every setting, then call {@link #check}, which throws with all errors at once;
+ * each names file, line, key and the accepted values. Keys that nobody read are errors too. Not
+ * thread safe.
+ */
+public final class Settings {
+    private final String file;
+    private final TomlParseResult toml;
+    private final List<String> errors = new ArrayList<>();
+    private final Set<String> read = new HashSet<>();
+
+    private Settings(String file, TomlParseResult toml) {
+        this.file = file;
+        this.toml = toml;
+        for (TomlParseError error : toml.errors()) {
+            errors.add(file + ":" + error.position().line() + ": " + error.getMessage());
+        }
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param path the file
+     * @return its settings
+     * @throws ChivevaleException with SETTINGS_INVALID when it can't be read
+     */
+    public static Settings read(Path path) {
+        try {
+            return new Settings(path.toString(), Toml.parse(path));
+        } catch (IOException e) {
+            throw new ChivevaleException(
+                    ResultCode.SETTINGS_INVALID, path + ": can't be read: " + e.getMessage());
+        }
+    }
+
+    /**
+     * Reads text.
+     *
+     * @param name stands for the file's name in errors
+     * @param text the settings
+     * @return the settings
+     */
+    public static Settings parse(String name, String text) {
+        return new Settings(name, Toml.parse(text));
+    }
+
+    /**
+     * Reads a text that must be there.
+     *
+     * @param key dotted key
+     * @param accepted says what is accepted, for the error
+     * @return the text; empty after an error
+     */
+    public String text(String key, String accepted) {
+        Object value = value(key);
+        if (value instanceof String text && !text.isBlank()) {
+            return text;
+        }
+        reject(key, value, accepted);
+        return "";
+    }
+
+    /**
+     * Reads a text with a default.
+     *
+     * @param key dotted key
+     * @param fallback used when the key is not there
+     * @param accepted says what is accepted, for the error
+     * @return the text
+     */
+    public String text(String key, String fallback, String accepted) {
+        return value(key) == null ? fallback : text(key, accepted);
+    }
+
+    /**
+     * Reads a whole number with a default.
+     *
+     * @param key dotted key
+     * @param fallback used when the key is not there
+     * @param min smallest accepted value
+     * @param max largest accepted value
+     * @return the number
+     */
+    public int number(String key, int fallback, int min, int max) {
+        Object value = value(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Long number && number >= min && number <= max) {
+            return number.intValue();
+        }
+        reject(key, value, "a whole number from " + min + " to " + max);
+        return fallback;
+    }
+
+    /**
+     * Reads a truth value with a default.
+     *
+     * @param key dotted key
+     * @param fallback used when the key is not there
+     * @return the value
+     */
+    public boolean flag(String key, boolean fallback) {
+        Object value = value(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        reject(key, value, "true or false");
+        return fallback;
+    }
+
+    /**
+     * Reads a host and port.
+     *
+     * @param key dotted key
+     * @return the address; port 0 means a free one
+     */
+    public HostPort address(String key) {
+        String text = text(key, "\"IP:PORT\"");
+        return text.isEmpty() ? new HostPort("127.0.0.1", 0) : address(key, text);
+    }
+
+    private HostPort address(String key, String text) {
+        try {
+            return HostPort.parse(text);
+        } catch (ChivevaleException e) {
+            reject(key, text, "\"IP:PORT\"");
+            return new HostPort("127.0.0.1", 0);
+        }
+    }
+
+    /**
+     * Reads a list of addresses.
+     *
+     * @param key dotted key
+     * @return the addresses; empty when the key is not there
+     */
+    public List<HostPort> addresses(String key) {
+        List<HostPort> addresses = new ArrayList<>();
+        for (String text : texts(key)) {
+            addresses.add(address(key, text));
+        }
+        return addresses;
+    }
+
+    /**
+     * Reads a list of texts.
+     *
+     * @param key dotted key
+     * @return the texts; empty when the key is not there
+     */
+    public List<String> texts(String key) {
+        Object value = value(key);
+        List<String> texts = new ArrayList<>();
+        if (value == null) {
+            return texts;
+        }
+        if (!(value instanceof TomlArray array)) {
+            reject(key, value, "a list of texts");
+            return texts;
+        }
+        for (Object item : array.toList()) {
+            if (item instanceof String text) {
+                texts.add(text);
+            } else {
+                reject(key, item, "a list of texts");
+            }
+        }
+        return texts;
+    }
+
+    /**
+     * Reports a value that is wrong for a reason the readers above don't know.
+     *
+     * @param key dotted key
+     * @param value what was given
+     * @param accepted says what is accepted
+     */
+    public void reject(String key, Object value, String accepted) {
+        String given = value == null ? "is missing" : "is " + quote(value);
+        errors.add(file + ":" + line(key) + ": " + key + " " + given + "; accepted: " + accepted);
+    }
+
+    /**
+     * Ends the reading.
+     *
+     * @throws ChivevaleException with SETTINGS_INVALID and all errors
+     */
+    public void check() {
+        for (String key : toml.dottedKeySet()) {
+            if (!read.contains(key)) {
+                errors.add(file + ":" + line(key) + ": " + key + " is not a known setting");
+            }
+        }
+        if (!errors.isEmpty()) {
+            throw new ChivevaleException(
+                    ResultCode.SETTINGS_INVALID, String.join(System.lineSeparator(), errors));
+        }
+    }
+
+    private Object value(String key) {
+        read.add(key);
+        try {
+            return toml.get(key);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    private int line(String key) {
+        TomlPosition position = toml.inputPositionOf(key);
+        return position == null ? 1 : position.line();
+    }
+
+    private static String quote(Object value) {
+        return value instanceof String ? "\"" + value + "\"" : String.valueOf(value);
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files. */
+package org.chivevale.core.settings;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/statement/StatementKind.java
@@ -0,0 +1,15 @@
+package org.chivevale.core.statement;
+
+/**
+ * What a caller's statement may do.
+ *
+ * <p>Immutable.
+ */
+public enum StatementKind {
+    /** Reads only. */
+    READ,
+    /** Changes rows. */
+    WRITE,
+    /** Changes tables of the account's own schema. */
+    SCHEMA
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/statement/package-info.java
@@ -0,0 +1,2 @@
+/** What callers' statements may do. */
+package org.chivevale.core.statement;
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/util/Checks.java
@@ -0,0 +1,33 @@
+package org.chivevale.core.util;
+
+import java.util.regex.Pattern;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+
+/**
+ * Checks of names that come from outside.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class Checks {
+    private static final Pattern NAME = Pattern.compile("[a-z][a-z0-9_-]{0,47}");
+
+    private Checks() {}
+
+    /**
+     * Checks a name: a lower-case letter, then up to 47 letters, digits, '_' or '-'.
+     *
+     * @param kind what is named, for the message
+     * @param value the name
+     * @return the same name
+     * @throws ChivevaleException with MALFORMED_REQUEST when it is not a name
+     */
+    public static String name(String kind, String value) {
+        if (value == null || !NAME.matcher(value).matches()) {
+            throw new ChivevaleException(
+                    ResultCode.MALFORMED_REQUEST,
+                    kind + " '" + value + "' must match " + NAME.pattern());
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/util/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers. */
+package org.chivevale.core.util;
--- /dev/null
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
@@ -0,0 +1,95 @@
+package org.chivevale.ctl;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import org.chivevale.core.errors.ChivevaleException;
+
+/**
+ * The operators' command line.
+ *
+ * <p>Exit codes: 0 done, 1 refused by the system, 2 wrong usage. Run by one thread.
+ */
+public final class CtlMain {
+    private static final int REFUSED_STATUS = 1;
+    private static final int USAGE_STATUS = 2;
+
+    private CtlMain() {}
+
+    /**
+     * Runs one command.
+     *
+     * @param args see {@code help}
+     */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    /**
+     * Runs one command and returns its exit code.
+     *
+     * @param args see {@code help}
+     * @return the exit code
+     */
+    public static int run(String... args) {
+        try {
+            cli().parse(args).run();
+            return 0;
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            return USAGE_STATUS;
+        } catch (ChivevaleException e) {
+            System.err.println(e.code().number() + " " + e.code() + ": " + e.getMessage());
+            return REFUSED_STATUS;
+        }
+    }
+
+    private static Cli<Runnable> cli() {
+        CliBuilder<Runnable> builder =
+                Cli.<Runnable>builder("chivevalectl")
+                        .withDescription("Operates chivevale")
+                        .withDefaultCommand(HelpCommand.class)
+                        .withCommands(
+                                HelpCommand.class,
+                                Commands.NewKey.class,
+                                Commands.Plan.class,
+                                Commands.Confirm.class,
+                                Commands.Status.class,
+                                Commands.ShowConfiguration.class,
+                                Commands.History.class,
+                                Commands.Report.class);
+        builder.withGroup("account")
+                .withDescription("Client accounts, their rates and databases")
+                .withCommands(
+                        Commands.AccountCreate.class,
+                        Commands.AccountChange.class,
+                        Commands.AccountRemove.class);
+        builder.withGroup("rate")
+                .withDescription("Rates and bursts of client accounts")
+                .withCommands(Commands.AccountChange.class);
+        builder.withGroup("key")
+                .withDescription("Keys of client accounts")
+                .withCommands(Commands.KeyCreate.class, Commands.KeyWithdraw.class);
+        builder.withGroup("database")
+                .withDescription("Databases and their announcement credentials")
+                .withCommands(
+                        Commands.DatabaseCreate.class,
+                        Commands.DatabaseChange.class,
+                        Commands.CredentialReplace.class);
+        builder.withGroup("group")
+                .withDescription("Database groups and their primaries")
+                .withCommands(Commands.HandOver.class, Commands.PromoteWithLoss.class);
+        builder.withGroup("route")
+                .withDescription("Reads open to everybody")
+                .withCommands(Commands.RouteOpen.class, Commands.RouteClose.class);
+        builder.withGroup("operator")
+                .withDescription("Operators and their roles")
+                .withCommands(Commands.OperatorCreate.class);
+        return builder.build();
+    }
+
+    /** Prints the help; {@link Help} itself is no Runnable of this command line. */
+    @com.github.rvesse.airline.annotations.Command(name = "help", description = "Show the commands")
+    public static final class HelpCommand extends Help<Runnable> implements Runnable {}
+}
--- /dev/null
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.chivevale.ctl;
--- /dev/null
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseConnector.java
@@ -0,0 +1,22 @@
+package org.chivevale.database;
+
+import io.vertx.core.Future;
+import org.chivevale.core.group.GroupId;
+
+/**
+ * Opens connections to endpoints.
+ *
+ * <p>Used on one event loop.
+ */
+public interface DatabaseConnector {
+    /**
+     * Opens a connection.
+     *
+     * @param host the endpoint's address
+     * @param port the endpoint's port
+     * @param group the database group
+     * @param onClose runs when the connection is closed by the other side
+     * @return the connection
+     */
+    Future<DatabaseConnection> connect(String host, int port, GroupId group, Runnable onClose);
+}
--- /dev/null
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/Statement.java
@@ -0,0 +1,19 @@
+package org.chivevale.database;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * One statement of a caller with its parameters.
+ *
+ * <p>Immutable.
+ *
+ * @param sql the text, with parameters {@code $1}, {@code $2} and so on
+ * @param parameters values as the driver takes them; null for SQL NULL
+ */
+public record Statement(String sql, List<Object> parameters) {
+    public Statement {
+        parameters = Collections.unmodifiableList(new ArrayList<>(parameters));
+    }
+}
--- /dev/null
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/internal/postgres/package-info.java
@@ -0,0 +1,2 @@
+/** PostgreSQL endpoints, through the Vert.x PostgreSQL client. */
+package org.chivevale.database.internal.postgres;
--- /dev/null
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints, behind one interface for all kinds of databases. */
+package org.chivevale.database;
--- /dev/null
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/instance/package-info.java
@@ -0,0 +1,2 @@
+/** Database groups on an endpoint: embedded databases, their logs and roles. */
+package org.chivevale.endpoint.internal.instance;
--- /dev/null
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** Trial deployments on loopback. */
+package org.chivevale.load.deployment;
--- /dev/null
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load, checks and experiments. */
+package org.chivevale.load;
--- /dev/null
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
@@ -0,0 +1,80 @@
+package org.chivevale.process;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.nio.file.Path;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.ProcessLifetime;
+
+/**
+ * Common part of the processes' main classes: the command line, the kernel's life, exit codes.
+ *
+ * <p>Used by one thread.
+ */
+public abstract class Main {
+    private static final int BAD_SETTINGS_STATUS = 2;
+
+    @AirlineModule private HelpOption<Main> help;
+
+    @Option(
+            name = {"--settings"},
+            title = "FILE",
+            description = "TOML file with the settings")
+    private String settingsFile = "settings.toml";
+
+    @Option(
+            name = {"--check"},
+            description = "Check the settings and exit")
+    private boolean checkOnly;
+
+    /**
+     * Reads the settings and registers the services.
+     *
+     * @param settingsFile the file
+     * @return a kernel that is not started
+     */
+    protected abstract Kernel kernel(Path settingsFile);
+
+    /**
+     * Runs a process until it is told to stop.
+     *
+     * @param type its main class
+     * @param args the command line
+     * @param <T> its main class
+     */
+    protected static <T extends Main> void run(Class<T> type, String[] args) {
+        try {
+            Main main = SingleCommand.singleCommand(type).parse(args);
+            if (!main.helpShown()) {
+                main.run();
+            }
+        } catch (ParseException e) {
+            fail(e.getMessage());
+        } catch (ChivevaleException e) {
+            fail(e.code().number() + " " + e.code() + ": " + e.getMessage());
+        }
+    }
+
+    private static void fail(String message) {
+        System.err.println(message);
+        System.exit(BAD_SETTINGS_STATUS);
+    }
+
+    private boolean helpShown() {
+        return help.showHelpIfRequested();
+    }
+
+    private void run() {
+        Kernel kernel = kernel(Path.of(settingsFile));
+        if (checkOnly) {
+            System.out.println(settingsFile + ": ok");
+            return;
+        }
+        kernel.start();
+        ProcessLifetime.runUntilStopped(kernel::stop);
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxyMain.java
@@ -0,0 +1,72 @@
+package org.chivevale.proxy;
+
+import com.github.rvesse.airline.annotations.Command;
+import java.nio.file.Path;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Main;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.internal.fleet.ControlLink;
+import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.health.Prober;
+import org.chivevale.proxy.internal.http.CallerService;
+import org.chivevale.proxy.internal.pool.PoolService;
+import org.chivevale.proxy.internal.rate.RateGate;
+import org.chivevale.proxy.internal.request.ExecutionService;
+import org.chivevale.proxy.internal.request.GroupHistories;
+import org.chivevale.proxy.internal.transaction.ForwardService;
+import org.chivevale.proxy.internal.transaction.TransactionService;
+
+/**
+ * The proxy: takes callers' requests and runs them at endpoints.
+ *
+ * <p>Run by one thread.
+ */
+@Command(name = "chivevale-proxy", description = "Proxy between callers and databases")
+public final class ProxyMain extends Main {
+    /**
+     * Runs until the process is told to stop.
+     *
+     * @param args see {@code --help}
+     */
+    public static void main(String[] args) {
+        run(ProxyMain.class, args);
+    }
+
+    @Override
+    protected Kernel kernel(Path settingsFile) {
+        ProxySettings settings = ProxySettings.read(settingsFile);
+        Directory directory = new Directory(settings);
+        GroupHistories histories = new GroupHistories();
+        PoolService pools = new PoolService(settings, directory);
+        TransactionService transactions = new TransactionService(settings, directory);
+        return new Kernel()
+                .register(EventLoop.NAME, new EventLoop())
+                .register(Metrics.NAME, new Metrics())
+                .register(
+                        ControlLink.NAME,
+                        new ControlLink(settings, directory),
+                        EventLoop.NAME,
+                        Metrics.NAME)
+                .register(PoolService.NAME, pools, ControlLink.NAME)
+                .register(RateGate.NAME, new RateGate(settings), ControlLink.NAME)
+                .register(
+                        Prober.NAME,
+                        new Prober(settings, directory, pools, histories),
+                        PoolService.NAME)
+                .register(
+                        ExecutionService.NAME,
+                        new ExecutionService(settings, directory, pools, histories),
+                        PoolService.NAME)
+                .register(TransactionService.NAME, transactions, ExecutionService.NAME)
+                .register(
+                        ForwardService.NAME,
+                        new ForwardService(settings, directory, transactions),
+                        TransactionService.NAME)
+                .register(
+                        CallerService.NAME,
+                        new CallerService(settings, directory),
+                        ForwardService.NAME,
+                        RateGate.NAME);
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/health/package-info.java
@@ -0,0 +1,2 @@
+/** Probing primaries. */
+package org.chivevale.proxy.internal.health;
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' API. */
+package org.chivevale.proxy.internal.http;
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/PoolService.java
@@ -0,0 +1,227 @@
+package org.chivevale.proxy.internal.pool;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.chivevale.core.config.Group;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.Service;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.database.DatabaseConnection;
+import org.chivevale.database.DatabaseConnector;
+import org.chivevale.database.DatabaseConnectors;
+import org.chivevale.database.PostgresConnectorOptions;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.ProxySettings;
+import org.chivevale.proxy.internal.fleet.ControlLink;
+import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.fleet.RenewalPart;
+import org.chivevale.wire.proto.ConnectionDemand;
+import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.RenewAnswer;
+import org.chivevale.wire.proto.RenewRequest;
+
+/**
+ * All pools of this proxy; a pool is made when its instance is first used.
+ *
+ * <p>Used on the event loop.
+ */
+public final class PoolService implements Service, RenewalPart {
+    /** Name in the kernel. */
+    public static final String NAME = "pools";
+
+    private static final long TICK_MILLIS = 5;
+    private static final long PROBE_TICK_MILLIS = 250;
+    private static final long SHARE_WANTED_EVERY_NANOS = 100_000_000;
+    private static final String LOGIN_ROLE = "chivevale";
+
+    private final ProxySettings settings;
+    private final Directory directory;
+    private final Map<InstanceKey, InstancePool> pools = new HashMap<>();
+    private DatabaseConnector connector;
+    private ControlLink link;
+    private long shareWantedNanos;
+
+    /**
+     * Creates the service.
+     *
+     * @param settings the process's settings
+     * @param directory knows the members
+     */
+    public PoolService(ProxySettings settings, Directory directory) {
+        this.settings = settings;
+        this.directory = directory;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        link = kernel.find(ControlLink.NAME, ControlLink.class);
+        connector =
+                DatabaseConnectors.postgres(
+                        loop.vertx(),
+                        new PostgresConnectorOptions(
+                                LOGIN_ROLE,
+                                settings.databasePassword(),
+                                settings.timing().connectTimeoutMillis()));
+        MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
+        registry.gauge("chivevale.proxy.pool.connections", this, PoolService::connections);
+        registry.gauge("chivevale.proxy.pool.waiting", this, PoolService::inFlight);
+        loop.runAndWait(
+                () -> {
+                    link.add(this);
+                    directory.listen(this::membersChanged);
+                });
+        loop.every(TICK_MILLIS, () -> pools.values().forEach(InstancePool::tick));
+        loop.every(PROBE_TICK_MILLIS, this::probeIdle);
+    }
+
+    private int connections() {
+        return pools.values().stream().mapToInt(InstancePool::limitInForce).sum();
+    }
+
+    private int inFlight() {
+        return pools.values().stream().mapToInt(InstancePool::inFlight).sum();
+    }
+
+    /**
+     * Returns the pool of a group's primary.
+     *
+     * @param group a group that has a primary
+     * @return the pool
+     */
+    public InstancePool primary(Group group) {
+        return pool(new InstanceKey(group.primary(), group.id()), group.address());
+    }
+
+    /**
+     * Returns the pool of a member.
+     *
+     * @param member the member
+     * @return the pool
+     */
+    public InstancePool member(EndpointMember member) {
+        return pool(
+                new InstanceKey(
+                        new EndpointId(member.getEndpointId()), GroupId.parse(member.getGroupId())),
+                new HostPort(member.getHost(), member.getPort()));
+    }
+
+    private InstancePool pool(InstanceKey key, HostPort address) {
+        InstancePool pool = pools.get(key);
+        if (pool == null) {
+            pool =
+                    new InstancePool(
+                            key,
+                            address,
+                            connector,
+                            settings.limits().queuedPerAccount(),
+                            this::shareWanted);
+            pools.put(key, pool);
+            link.renewSoon();
+        }
+        pool.address(address);
+        return pool;
+    }
+
+    private void shareWanted() {
+        long now = EventLoop.nowNanos();
+        if (now - shareWantedNanos > SHARE_WANTED_EVERY_NANOS) {
+            shareWantedNanos = now;
+            link.renewSoon();
+        }
+    }
+
+    private void membersChanged() {
+        List<InstanceKey> gone = new ArrayList<>();
+        for (InstancePool pool : pools.values()) {
+            if (!known(pool.key()) && pool.unused()) {
+                gone.add(pool.key());
+            }
+        }
+        gone.forEach(key -> pools.remove(key).close());
+    }
+
+    private boolean known(InstanceKey key) {
+        Group group = directory.configuration().group(key.group());
+        if (key.endpoint().equals(group.primary())) {
+            return true;
+        }
+        return directory.members(key.group()).stream()
+                .anyMatch(member -> member.getEndpointId().equals(key.endpoint().value()));
+    }
+
+    private void probeIdle() {
+        for (InstancePool pool : pools.values()) {
+            DatabaseConnection connection = pool.takeForProbe();
+            if (connection != null) {
+                probe(pool, connection);
+            }
+        }
+    }
+
+    private void probe(InstancePool pool, DatabaseConnection connection) {
+        long asked = EventLoop.nowNanos();
+        connection
+                .memberStatus()
+                .timeout(settings.timing().statementTimeoutMillis(), TimeUnit.MILLISECONDS)
+                .onComplete(
+                        ended -> {
+                            if (ended.succeeded()) {
+                                long now = EventLoop.nowNanos();
+                                pool.stats().answered(now - asked, now);
+                            } else {
+                                connection.close();
+                            }
+                            pool.release(connection);
+                        });
+    }
+
+    /**
+     * Lists the pools.
+     *
+     * @return a live view
+     */
+    public Collection<InstancePool> pools() {
+        return pools.values();
+    }
+
+    @Override
+    public void addTo(RenewRequest.Builder request) {
+        for (InstancePool pool : pools.values()) {
+            request.addConnectionDemands(
+                    ConnectionDemand.newBuilder()
+                            .setEndpointId(pool.key().endpoint().value())
+                            .setGroupId(pool.key().group().toString())
+                            .setWanted(pool.takeDemand() + 1)
+                            .setLimitInForce(pool.limitInForce()));
+        }
+    }
+
+    @Override
+    public void answered(RenewAnswer answer) {
+        for (ConnectionShare share : answer.getConnectionSharesList()) {
+            InstanceKey key =
+                    new InstanceKey(
+                            new EndpointId(share.getEndpointId()),
+                            GroupId.parse(share.getGroupId()));
+            InstancePool pool = pools.get(key);
+            if (pool != null) {
+                pool.share(share.getLimit());
+            }
+        }
+    }
+
+    @Override
+    public void stop() {
+        pools.values().forEach(InstancePool::close);
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
@@ -0,0 +1,226 @@
+package org.chivevale.proxy.internal.rate;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.Service;
+import org.chivevale.core.rate.RateShare;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.ProxySettings;
+import org.chivevale.proxy.internal.fleet.ControlLink;
+import org.chivevale.wire.proto.RateAnswer;
+import org.chivevale.wire.proto.RateGrant;
+import org.chivevale.wire.proto.RateRequest;
+import org.chivevale.wire.proto.RateWant;
+
+/**
+ * Admits requests within the rate and burst of their client account.
+ *
+ * <p>Invariants: each admitted request has spent a token of the account's owner; a request is only
+ * refused for its rate after the owner has said that there are no tokens. Used on the event loop.
+ */
+public final class RateGate implements Service {
+    /** Name in the kernel. */
+    public static final String NAME = "rate-gate";
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long TICK_MILLIS = 2;
+    private static final long LOOKAHEAD_NANOS = 100 * NANOS_PER_MILLI;
+    private static final long RETURN_EVERY_NANOS = 100 * NANOS_PER_MILLI;
+    private static final int MAX_WAITING = 1000;
+
+    private final ProxySettings settings;
+    private final Map<ClientAccountId, Gate> gates = new HashMap<>();
+    private ControlLink link;
+    private Counter asked;
+    private Counter refused;
+    private long returnedNanos;
+
+    private static final class Gate {
+        final RateShare share;
+        final Deque<Waiter> waiters = new ArrayDeque<>();
+        long retryAtNanos;
+        boolean exhausted;
+
+        Gate(long nowNanos) {
+            share = new RateShare(LOOKAHEAD_NANOS, nowNanos);
+            retryAtNanos = nowNanos;
+        }
+    }
+
+    private record Waiter(Promise<Void> promise, long patienceNanos, long deadlineNanos) {}
+
+    /**
+     * Creates the gate.
+     *
+     * @param settings the process's settings
+     */
+    public RateGate(ProxySettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        link = kernel.find(ControlLink.NAME, ControlLink.class);
+        MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
+        asked = registry.counter("chivevale.proxy.rate.requests");
+        refused = registry.counter("chivevale.proxy.rate.refused");
+        returnedNanos = EventLoop.nowNanos();
+        loop.every(TICK_MILLIS, this::tick);
+    }
+
+    /**
+     * Spends a token, waiting for one if need be.
+     *
+     * @param account the client account
+     * @param deadlineNanos the request's deadline
+     * @return completes when the request may run; fails with RATE_EXCEEDED or RATE_OWNER_MISSING
+     */
+    public Future<Void> admit(ClientAccountId account, long deadlineNanos) {
+        long now = EventLoop.nowNanos();
+        Gate gate = gates.computeIfAbsent(account, key -> new Gate(now));
+        if (gate.waiters.isEmpty() && gate.share.tryTake(now)) {
+            if (gate.share.low(now)) {
+                ask();
+            }
+            return Future.succeededFuture();
+        }
+        if (gate.waiters.size() >= MAX_WAITING) {
+            return Future.failedFuture(exceeded(account, gate, now));
+        }
+        long patience = now + settings.timing().ratePatienceMillis() * NANOS_PER_MILLI;
+        Promise<Void> promise = Promise.promise();
+        gate.waiters.addLast(new Waiter(promise, Math.min(patience, deadlineNanos), deadlineNanos));
+        ask();
+        return promise.future();
+    }
+
+    private ChivevaleException exceeded(ClientAccountId account, Gate gate, long nowNanos) {
+        refused.increment();
+        long waitMillis = Math.max(1, (gate.retryAtNanos - nowNanos) / NANOS_PER_MILLI);
+        return new ChivevaleException(
+                ResultCode.RATE_EXCEEDED,
+                "client account "
+                        + account
+                        + " is above its rate; next token in "
+                        + waitMillis
+                        + " ms at the earliest");
+    }
+
+    private void tick() {
+        long now = EventLoop.nowNanos();
+        gates.forEach((account, gate) -> expire(account, gate, now));
+        ask();
+    }
+
+    private void expire(ClientAccountId account, Gate gate, long nowNanos) {
+        while (!gate.waiters.isEmpty()) {
+            Waiter first = gate.waiters.peekFirst();
+            boolean impatient = gate.exhausted && nowNanos - first.patienceNanos() >= 0;
+            if (impatient) {
+                gate.waiters.removeFirst();
+                first.promise().fail(exceeded(account, gate, nowNanos));
+            } else if (nowNanos - first.deadlineNanos() >= 0) {
+                gate.waiters.removeFirst();
+                first.promise()
+                        .fail(
+                                new ChivevaleException(
+                                        ResultCode.RATE_OWNER_MISSING,
+                                        "no answer on the rate of client account " + account));
+            } else {
+                return;
+            }
+        }
+    }
+
+    private void ask() {
+        long now = EventLoop.nowNanos();
+        RateRequest.Builder request = RateRequest.newBuilder();
+        boolean returning = now - returnedNanos >= RETURN_EVERY_NANOS;
+        boolean any = false;
+        for (Map.Entry<ClientAccountId, Gate> entry : gates.entrySet()) {
+            Gate gate = entry.getValue();
+            boolean wants = wants(gate, now);
+            any |= wants || returning && gate.share.hasClosed(now);
+        }
+        if (!any || !link.canAskRates()) {
+            return;
+        }
+        gates.forEach((account, gate) -> addWant(request, account, gate, now));
+        returnedNanos = now;
+        asked.increment();
+        link.askRates(request, answer -> answered(answer, now));
+    }
+
+    private static boolean wants(Gate gate, long nowNanos) {
+        boolean due = nowNanos - gate.retryAtNanos >= 0;
+        return due && (!gate.waiters.isEmpty() || gate.share.low(nowNanos));
+    }
+
+    private static void addWant(
+            RateRequest.Builder request, ClientAccountId account, Gate gate, long nowNanos) {
+        boolean wants = wants(gate, nowNanos);
+        List<RateShare.Closed> closed = gate.share.drainClosed(nowNanos);
+        if (!wants && closed.isEmpty()) {
+            return;
+        }
+        RateWant.Builder want = RateWant.newBuilder().setAccountId(account.value());
+        if (wants) {
+            want.setWanted(gate.share.wanted(gate.waiters.size(), nowNanos));
+        }
+        for (RateShare.Closed one : closed) {
+            want.addClosedGrantIds(one.grantId()).addClosedUnused(one.unused());
+        }
+        request.addWants(want);
+    }
+
+    private void answered(RateAnswer answer, long askedAtNanos) {
+        long now = EventLoop.nowNanos();
+        for (RateGrant grant : answer.getGrantsList()) {
+            ClientAccountId account = new ClientAccountId(grant.getAccountId());
+            Gate gate = gates.get(account);
+            if (gate != null) {
+                take(gate, grant, askedAtNanos, now);
+                expire(account, gate, now);
+            }
+        }
+        ask();
+    }
+
+    private void take(Gate gate, RateGrant grant, long askedAtNanos, long nowNanos) {
+        if (grant.getTokens() == 0) {
+            if (grant.getRetryAfterMillis() > 0) {
+                gate.exhausted = true;
+                gate.retryAtNanos = nowNanos + grant.getRetryAfterMillis() * NANOS_PER_MILLI;
+            }
+            return;
+        }
+        gate.exhausted = false;
+        gate.share.granted(
+                grant.getGrantId(),
+                grant.getTokens(),
+                askedAtNanos + grant.getValidMillis() * NANOS_PER_MILLI);
+        Iterator<Waiter> waiters = gate.waiters.iterator();
+        while (waiters.hasNext()) {
+            Waiter waiter = waiters.next();
+            if (!gate.share.tryTake(nowNanos)) {
+                return;
+            }
+            waiters.remove();
+            waiter.promise().complete();
+        }
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Admission by client accounts' rates. */
+package org.chivevale.proxy.internal.rate;
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/package-info.java
@@ -0,0 +1,2 @@
+/** Reading, running and answering requests. */
+package org.chivevale.proxy.internal.request;
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The proxy between callers and databases. */
+package org.chivevale.proxy;
