--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
@@ -0,0 +1,163 @@
+package org.chivevale.core.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.chivevale.core.group.EndpointId;
+
+class FailoverProperties {
+    private static final EndpointId A = new EndpointId("a");
+    private static final EndpointId B = new EndpointId("b");
+    private static final EndpointId C = new EndpointId("c");
+    private static final List<EndpointId> ALL = List.of(A, B, C);
+    private static final int NEEDED = 2;
+
+    private final FailoverPolicy policy = new FailoverPolicy(3000, 1500);
+
+    private static FailoverView view(
+            FailoverPhase phase, boolean fenceInForce, Map<EndpointId, MemberPosition> positions) {
+        return view(phase, fenceInForce, positions, false, 10);
+    }
+
+    private static FailoverView view(
+            FailoverPhase phase,
+            boolean fenceInForce,
+            Map<EndpointId, MemberPosition> positions,
+            boolean planned,
+            long collectingForMillis) {
+        return new FailoverView(
+                phase,
+                1,
+                null,
+                A,
+                B,
+                planned,
+                null,
+                false,
+                false,
+                fenceInForce,
+                NEEDED,
+                positions,
+                collectingForMillis,
+                null,
+                10);
+    }
+
+    private static MemberPosition at(EndpointId id, boolean primary, long position) {
+        return new MemberPosition(id, primary, 1, position);
+    }
+
+    @Example
+    void nobodyIsChosenBeforeTheFenceIsInForce() {
+        Map<EndpointId, MemberPosition> both = Map.of(B, at(B, false, 5), C, at(C, false, 9));
+        assertInstanceOf(
+                FailoverAction.Rest.class, policy.next(view(FailoverPhase.FENCING, false, both)));
+        assertEquals(
+                new FailoverAction.Choose(C), policy.next(view(FailoverPhase.FENCING, true, both)));
+    }
+
+    @Example
+    void belowTheQuorumNobodyIsChosenUnlessAnOperatorAcceptsTheLoss() {
+        Map<EndpointId, MemberPosition> one = Map.of(B, at(B, false, 5));
+        assertInstanceOf(
+                FailoverAction.Blocked.class, policy.next(view(FailoverPhase.FENCING, true, one)));
+        assertEquals(
+                new FailoverAction.Choose(B),
+                policy.next(view(FailoverPhase.FENCING_WITH_LOSS, true, one)));
+    }
+
+    @Example
+    void anUnharmedPrimaryThatComesBackStaysPrimary() {
+        Map<EndpointId, MemberPosition> back = Map.of(A, at(A, true, 9), B, at(B, false, 5));
+        assertEquals(
+                new FailoverAction.Reinstate(A),
+                policy.next(view(FailoverPhase.FENCING, true, back)));
+    }
+
+    @Example
+    void aHandOverWaitsForAReplicaThatHasEverythingAndElseGivesUp() {
+        Map<EndpointId, MemberPosition> behind = Map.of(A, at(A, true, 9), B, at(B, false, 5));
+        assertInstanceOf(
+                FailoverAction.Blocked.class,
+                policy.next(view(FailoverPhase.FENCING, true, behind, true, 10)));
+        assertEquals(
+                new FailoverAction.Reinstate(A),
+                policy.next(view(FailoverPhase.FENCING, true, behind, true, 2000)));
+        Map<EndpointId, MemberPosition> even = Map.of(A, at(A, true, 9), B, at(B, false, 9));
+        assertEquals(
+                new FailoverAction.Choose(B),
+                policy.next(view(FailoverPhase.FENCING, true, even, true, 10)));
+    }
+
+    @Property(tries = 1000, seed = "20261204")
+    void theChosenMemberHoldsEveryWriteThatAQuorumHeld(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Map<EndpointId, Long> held = new HashMap<>();
+        ALL.forEach(id -> held.put(id, 1L));
+        long acknowledged = 1;
+        for (int write = 2; write < 2 + random.nextInt(20); write++) {
+            held.put(A, (long) write);
+            EndpointId replica = random.nextBoolean() ? B : C;
+            if (random.nextInt(3) > 0) {
+                held.put(replica, (long) write);
+                acknowledged = write;
+            }
+        }
+        Map<EndpointId, MemberPosition> answers = new HashMap<>();
+        for (EndpointId id : ALL) {
+            if (random.nextBoolean()) {
+                answers.put(id, at(id, id.equals(A), held.get(id)));
+            }
+        }
+        FailoverAction action = policy.next(view(FailoverPhase.FENCING, true, answers));
+        if (action instanceof FailoverAction.Choose choose) {
+            assertTrue(answers.size() >= NEEDED);
+            assertTrue(held.get(choose.candidate()) >= acknowledged, answers.toString());
+        } else if (action instanceof FailoverAction.Reinstate reinstate) {
+            assertTrue(held.get(reinstate.primary()) >= acknowledged);
+        } else {
+            assertTrue(answers.size() < NEEDED, answers.toString());
+        }
+    }
+
+    @Property(seed = "20261204")
+    void aPrimaryThatOnlySomeProxiesCannotReachIsNotSuspected(
+            @ForAll @IntRange(min = 1, max = 9) int proxies,
+            @ForAll @IntRange(max = 9) int suspecting) {
+        HealthBoard board = new HealthBoard(1000);
+        int suspects = Math.min(suspecting, proxies);
+        for (int i = 0; i < proxies; i++) {
+            board.report("proxy-" + i, "dc-" + i % 3, A, 1, i < suspects, 0);
+        }
+        boolean suspected = board.suspected(A, 1, 500);
+        if (suspects * 2 <= proxies) {
+            assertFalse(suspected);
+        }
+        if (suspects == proxies) {
+            assertTrue(suspected);
+        }
+        assertFalse(board.suspected(A, 2, 500), "reports of another term do not count");
+        assertFalse(board.suspected(A, 1, 5000), "old reports do not count");
+    }
+
+    @Example
+    void oneDataCentreAloneCannotCauseAReplacement() {
+        HealthBoard board = new HealthBoard(1000);
+        board.report("p1", "dc-1", A, 1, true, 0);
+        board.report("p2", "dc-1", A, 1, true, 0);
+        board.report("p3", "dc-2", A, 1, false, 0);
+        assertFalse(board.suspected(A, 1, 1));
+        board.report("p3", "dc-2", A, 1, true, 0);
+        assertTrue(board.suspected(A, 1, 1));
+    }
+}
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/lease/LeaseProperties.java
@@ -0,0 +1,64 @@
+package org.chivevale.core.lease;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class LeaseProperties {
+    private static final long MILLI = 1_000_000;
+    private static final long LEASE = 1000 * MILLI;
+    private static final int DRIFT_PPM = 5000;
+    private static final long MARGIN = 20 * MILLI;
+
+    /** Clocks drift against each other up to the stated bound. */
+    private static long drifted(long trueNanos, int ppm) {
+        return trueNanos + trueNanos / 1_000_000 * ppm;
+    }
+
+    @Property(tries = 500, seed = "20261204")
+    void noHolderActsOnAnOlderVersionOnceItCountsAsInForce(
+            @ForAll long seed, @ForAll @IntRange(min = -2500, max = 2500) int ppm) {
+        SplittableRandom random = new SplittableRandom(seed);
+        LeaseGrantor grantor = new LeaseGrantor(LEASE, DRIFT_PPM, 0);
+        LeaseHolder holder = new LeaseHolder(MARGIN);
+        long version = 1;
+        long held = 0;
+        for (long now = 0; now < 20_000 * MILLI; now += 10 * MILLI) {
+            if (random.nextInt(100) == 0) {
+                version++;
+            }
+            if (random.nextInt(20) == 0) {
+                long askedAt = drifted(now, ppm);
+                boolean requestLost = random.nextInt(4) == 0;
+                boolean answerLost = random.nextInt(4) == 0;
+                if (!requestLost) {
+                    long granted = grantor.grant("proxy", held, now);
+                    if (!answerLost) {
+                        held = version;
+                        holder.renewed(askedAt, granted);
+                    }
+                }
+            }
+            boolean acts = holder.valid(drifted(now, ppm));
+            for (long checked = held + 1; checked <= version; checked++) {
+                assertFalse(acts && grantor.inForce(checked, now), "version " + checked);
+            }
+        }
+    }
+
+    @Property(tries = 200, seed = "20261204")
+    void aSilentHolderDelaysAVersionByNoMoreThanTheLongestLease(@ForAll long seed) {
+        long start = new SplittableRandom(seed).nextLong(1L << 40);
+        LeaseGrantor grantor = new LeaseGrantor(LEASE, DRIFT_PPM, start);
+        grantor.grant("silent", 1, start);
+        grantor.grant("alive", 2, start);
+        long longest = LEASE + LEASE / 1_000_000 * DRIFT_PPM;
+        assertFalse(grantor.inForce(2, start + longest - MILLI));
+        assertTrue(grantor.missing(2, start).contains("silent"));
+        assertTrue(grantor.inForce(2, start + longest));
+    }
+}
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateProperties.java
@@ -0,0 +1,110 @@
+package org.chivevale.core.rate;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+
+/** One owner and several proxies, whose messages are delayed and lost. */
+class RateProperties {
+    private static final long MILLI = 1_000_000;
+    private static final long VALID = 200 * MILLI;
+    private static final long MARGIN = 50 * MILLI;
+
+    /** A proxy that spends as fast as it may. */
+    private static final class Spender {
+        final RateShare share = new RateShare(100 * MILLI, 0);
+        final String name;
+
+        Spender(String name) {
+            this.name = name;
+        }
+    }
+
+    @Property(tries = 300, seed = "20261204")
+    void theFleetNeverAdmitsMoreThanRateAndBurstInAnyWindow(
+            @ForAll @IntRange(min = 1, max = 500) int rate,
+            @ForAll @IntRange(min = 1, max = 200) int burst,
+            @ForAll @IntRange(min = 1, max = 6) int proxies,
+            @ForAll long seed) {
+        List<Long> admitted = run(rate, burst, proxies, seed, true);
+        for (int first = 0; first < admitted.size(); first += 1 + admitted.size() / 200) {
+            for (int last = first; last < admitted.size(); last += 1 + admitted.size() / 200) {
+                double seconds = (admitted.get(last) - admitted.get(first)) / 1e9;
+                double allowed = burst + rate * seconds + 1e-6;
+                assertTrue(
+                        last - first + 1 <= allowed,
+                        (last - first + 1) + " in " + seconds + " s, allowed " + allowed);
+            }
+        }
+    }
+
+    @Property(tries = 100, seed = "20261204")
+    void withoutLossAGreedyFleetGetsMostOfItsRate(
+            @ForAll @IntRange(min = 50, max = 500) int rate,
+            @ForAll @IntRange(min = 1, max = 6) int proxies,
+            @ForAll long seed) {
+        List<Long> admitted = run(rate, rate, proxies, seed, false);
+        double expected = rate * 4.0;
+        assertTrue(admitted.size() >= 0.8 * expected, admitted.size() + " of " + expected);
+    }
+
+    private static List<Long> run(int rate, int burst, int proxies, long seed, boolean faults) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RateOwner owner = new RateOwner(rate, burst, MARGIN, 1, 0);
+        List<Spender> spenders = new ArrayList<>();
+        for (int i = 0; i < proxies; i++) {
+            spenders.add(new Spender("proxy-" + i));
+        }
+        List<Long> admitted = new ArrayList<>();
+        for (long now = 0; now < 4000 * MILLI; now += MILLI) {
+            for (Spender spender : spenders) {
+                boolean wants = random.nextInt(faults ? 3 : 1) == 0;
+                if (wants) {
+                    spend(owner, spender, now, random, faults, admitted);
+                }
+            }
+        }
+        return admitted;
+    }
+
+    private static void spend(
+            RateOwner owner,
+            Spender spender,
+            long now,
+            SplittableRandom random,
+            boolean faults,
+            List<Long> admitted) {
+        if (spender.share.tryTake(now)) {
+            admitted.add(now);
+            return;
+        }
+        boolean requestLost = faults && random.nextInt(10) == 0;
+        List<RateShare.Closed> closed = spender.share.drainClosed(now);
+        if (requestLost) {
+            return;
+        }
+        for (RateShare.Closed one : closed) {
+            owner.close(spender.name, one.grantId(), one.unused(), now);
+        }
+        RateOwner.Granted granted =
+                owner.grant(spender.name, spender.share.wanted(1, now), VALID, now);
+        boolean answerLost = faults && random.nextInt(10) == 0;
+        if (granted.tokens() > 0 && !answerLost) {
+            spender.share.granted(granted.id(), granted.tokens(), now + granted.validNanos());
+        }
+    }
+
+    @Property(tries = 200, seed = "20261204")
+    void aNewOwnerStartsEmpty(
+            @ForAll @IntRange(min = 1, max = 1000) int burst,
+            @ForAll @LongRange(min = 0, max = 1_000_000_000_000L) long now) {
+        RateOwner owner = new RateOwner(1, burst, MARGIN, 1, now);
+        assertTrue(owner.grant("proxy", burst, VALID, now).tokens() == 0);
+    }
+}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/FairQueue.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/FairQueue.java
@@ -65,32 +65,33 @@
      * @return the entry, or null when none is left
      */
     public T poll(long nowNanos) {
-        while (!queues.isEmpty()) {
+        int turns = queues.size();
+        for (int turn = 0; turn < turns; turn++) {
             Iterator<Map.Entry<ClientAccountId, Deque<Entry<T>>>> first =
                     queues.entrySet().iterator();
-            Map.Entry<ClientAccountId, Deque<Entry<T>>> turn = first.next();
+            Map.Entry<ClientAccountId, Deque<Entry<T>>> next = first.next();
             first.remove();
-            Deque<Entry<T>> queue = turn.getValue();
-            Entry<T> next = pollLive(queue, nowNanos);
-            if (!queue.isEmpty()) {
-                queues.put(turn.getKey(), queue);
+            T item = takeLive(next.getValue(), nowNanos);
+            if (!next.getValue().isEmpty()) {
+                queues.put(next.getKey(), next.getValue());
             }
-            if (next != null) {
-                return next.item();
+            if (item != null) {
+                return item;
             }
         }
         return null;
     }
 
-    private Entry<T> pollLive(Deque<Entry<T>> queue, long nowNanos) {
-        while (!queue.isEmpty()) {
-            Entry<T> entry = queue.peekFirst();
-            if (nowNanos - entry.deadlineNanos() >= 0) {
-                return null;
+    /** Takes the oldest entry that is not past its deadline; late ones stay to be refused. */
+    private T takeLive(Deque<Entry<T>> queue, long nowNanos) {
+        Iterator<Entry<T>> entries = queue.iterator();
+        while (entries.hasNext()) {
+            Entry<T> entry = entries.next();
+            if (nowNanos - entry.deadlineNanos() < 0) {
+                entries.remove();
+                size--;
+                return entry.item();
             }
-            queue.removeFirst();
-            size--;
-            return entry;
         }
         return null;
     }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/route/PositionHistory.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/route/PositionHistory.java
@@ -91,6 +91,25 @@
         return -1;
     }
 
+    /**
+     * Estimates by how much a replica trails the primary.
+     *
+     * <p>Unlike {@link #ageBoundNanos} this is no bound but the time since the primary was first
+     * seen past the position, so it does not grow with the time between samples.
+     *
+     * @param position the replica's position
+     * @param nowNanos the monotonic time
+     * @return the estimate; 0 when the primary was never seen past the position
+     */
+    public long lagNanos(long position, long nowNanos) {
+        for (int i = 0; i < size; i++) {
+            if (position(i) > position) {
+                return Math.max(0, nowNanos - time(i));
+            }
+        }
+        return 0;
+    }
+
     /**
      * Tells by when a position was written.
      *
--- a/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/instance/Instance.java
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/instance/Instance.java
@@ -15,7 +15,6 @@
 import java.util.Objects;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.settings.HostPort;
@@ -25,9 +24,11 @@
 /**
  * One database group on this endpoint: an embedded database, its log, and its role.
  *
- * <p>Invariants: writes hold the write lock from their first statement to their commit, so the
- * log's order is the order of commits; a replica applies records in the log's order, each in one
- * transaction, and moves its position only afterwards. Thread safe.
+ * <p>Locks: {@code monitor} covers the database's state and position, {@code inbox} what was
+ * received and from whom; monitor comes before inbox. Invariants: writes hold the write lock from
+ * their first statement to their commit, so the log's order is the order of commits; a replica
+ * applies records in the log's order, each in one transaction, and moves its position only
+ * afterwards. Thread safe.
  */
 public final class Instance {
     /** Name of the role that proxies log in with. */
@@ -44,17 +45,18 @@
     private final LogFile file;
     private final Connection keeper;
     private final Connection applier;
-    private final Semaphore writeLock = new Semaphore(1, true);
+    private final WriteLock writeLock = new WriteLock();
     private final Object monitor = new Object();
+    private final Object inbox = new Object();
     private final Deque<LogRecord> recent = new ArrayDeque<>();
     private final Deque<Received> received = new ArrayDeque<>();
     private final Map<String, ReplicaProgress> replicas = new ConcurrentHashMap<>();
 
-    private boolean primary;
+    private volatile boolean primary;
+    private volatile LogPoint applied;
+    private volatile long receivedPosition;
+    private volatile HostPort upstream;
     private boolean historyComplete = true;
-    private LogPoint applied;
-    private long receivedPosition;
-    private HostPort upstream;
     private HostPort pendingUpstream;
     private boolean upstreamPending;
     private RoleListener listener = change -> {};
@@ -156,19 +158,12 @@
     // ---- writes at the primary ----
 
     /**
-     * Takes the write lock.
+     * Returns the lock that writers take.
      *
-     * @param timeoutMillis how long to wait
-     * @return false when others held it all the time
-     * @throws InterruptedException when the thread is interrupted
+     * @return one lock for the instance
      */
-    public boolean lockForWrite(long timeoutMillis) throws InterruptedException {
-        return writeLock.tryAcquire(timeoutMillis, TimeUnit.MILLISECONDS);
-    }
-
-    /** Gives the write lock back; any thread may do so for the session that holds it. */
-    public void unlockAfterWrite() {
-        writeLock.release();
+    public WriteLock writeLock() {
+        return writeLock;
     }
 
     /**
@@ -301,7 +296,7 @@
      * @return the place to continue from
      */
     public LogPoint receivedPoint() {
-        synchronized (monitor) {
+        synchronized (inbox) {
             Received last = received.peekLast();
             return last == null ? applied : last.record().point();
         }
@@ -315,7 +310,7 @@
      * @return false when the upstream was changed meanwhile, so that the record was not taken
      */
     public boolean receive(LogRecord record, HostPort from) {
-        synchronized (monitor) {
+        synchronized (inbox) {
             if (primary || !from.equals(upstream)) {
                 return false;
             }
@@ -328,7 +323,7 @@
             }
             received.addLast(new Received(record, System.nanoTime()));
             receivedPosition = record.position();
-            monitor.notifyAll();
+            inbox.notifyAll();
         }
         if (record.kind() == LogRecord.Kind.BASE) {
             listener.changed(true);
@@ -344,24 +339,36 @@
      */
     public boolean replayNext() {
         synchronized (monitor) {
-            if (received.isEmpty()) {
+            LogRecord next = oldestReceived();
+            if (next == null) {
                 return false;
             }
-            LogRecord next = received.peekFirst().record();
             try {
                 replay(next);
             } catch (SQLException e) {
                 throw new IllegalStateException(
                         "group " + group + ": replay at " + next.position() + " failed: " + e, e);
             }
-            received.removeFirst();
+            synchronized (inbox) {
+                applied = next.point();
+                boolean unchanged = !received.isEmpty() && received.peekFirst().record() == next;
+                if (unchanged) {
+                    received.removeFirst();
+                }
+            }
             remember(next);
-            applied = next.point();
             monitor.notifyAll();
             return true;
         }
     }
 
+    private LogRecord oldestReceived() {
+        synchronized (inbox) {
+            Received first = received.peekFirst();
+            return first == null ? null : first.record();
+        }
+    }
+
     /**
      * Waits until the oldest received record is to be replayed.
      *
@@ -369,14 +376,14 @@
      * @throws InterruptedException when the thread is interrupted
      */
     public void awaitReplayDue(long lagNanos) throws InterruptedException {
-        synchronized (monitor) {
+        synchronized (inbox) {
             while (received.isEmpty()) {
-                monitor.wait();
+                inbox.wait();
             }
             long dueNanos = received.peekFirst().atNanos() + lagNanos;
             long waitNanos = dueNanos - System.nanoTime();
             if (waitNanos > 0) {
-                TimeUnit.NANOSECONDS.timedWait(monitor, waitNanos);
+                TimeUnit.NANOSECONDS.timedWait(inbox, waitNanos);
             }
         }
     }
@@ -388,7 +395,7 @@
      * @return false when there is none or it is too young
      */
     public boolean replayDue(long lagNanos) {
-        synchronized (monitor) {
+        synchronized (inbox) {
             Received first = received.peekFirst();
             return first != null && System.nanoTime() - first.atNanos() >= lagNanos;
         }
@@ -402,6 +409,7 @@
             RoleSwitch.setRole(applier, LOGIN_ROLE);
             applier.createStatement().execute("DROP ALL OBJECTS");
         }
+        SystemFunctions.replaying(record.timeline());
         try {
             for (LoggedStatement statement : record.statements()) {
                 RoleSwitch.setRole(applier, LOGIN_ROLE);
@@ -416,6 +424,8 @@
         } catch (SQLException e) {
             applier.rollback();
             throw e;
+        } finally {
+            SystemFunctions.replaying(null);
         }
     }
 
@@ -431,7 +441,9 @@
             if (primary) {
                 return true;
             }
-            upstream = null;
+            synchronized (inbox) {
+                upstream = null;
+            }
             while (replayNext()) {
                 LOG.debugf("group %s: replayed before promotion", group);
             }
@@ -477,10 +489,14 @@
             if (unchanged) {
                 return true;
             }
-            upstream = pendingUpstream;
+            synchronized (inbox) {
+                upstream = pendingUpstream;
+                if (demoted) {
+                    primary = false;
+                    file.append(LogRecord.role(applied, false));
+                }
+            }
             if (demoted) {
-                primary = false;
-                file.append(LogRecord.role(applied, false));
                 replicas.clear();
                 LOG.infof("group %s: now follows %s", group, upstream);
             }
@@ -496,9 +512,7 @@
      * @return null for a primary and for a replica that was cut off
      */
     public HostPort upstream() {
-        synchronized (monitor) {
-            return upstream;
-        }
+        return upstream;
     }
 
     /**
@@ -507,9 +521,7 @@
      * @return true for a primary
      */
     public boolean isPrimary() {
-        synchronized (monitor) {
-            return primary;
-        }
+        return primary;
     }
 
     /**
@@ -518,9 +530,7 @@
      * @return from 1
      */
     public long timeline() {
-        synchronized (monitor) {
-            return applied.timeline();
-        }
+        return applied.timeline();
     }
 
     /**
@@ -540,9 +550,7 @@
      * @return a log position
      */
     public long receivedPosition() {
-        synchronized (monitor) {
-            return Math.max(receivedPosition, applied.position());
-        }
+        return Math.max(receivedPosition, applied.position());
     }
 
     /**
--- a/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/instance/SystemFunctions.java
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/instance/SystemFunctions.java
@@ -32,8 +32,20 @@
                     Map.entry("pg_reload_conf", "reload"),
                     Map.entry("pg_stat_replication", "replicationStatistics"));
 
+    /** Timeline of the record that the thread replays; the functions answer as at its primary. */
+    private static final ThreadLocal<Long> REPLAYED_TIMELINE = new ThreadLocal<>();
+
     private SystemFunctions() {}
 
+    /** Notes that the thread replays a record of a timeline; null when it has ended. */
+    static void replaying(Long timeline) {
+        if (timeline == null) {
+            REPLAYED_TIMELINE.remove();
+        } else {
+            REPLAYED_TIMELINE.set(timeline);
+        }
+    }
+
     static void install(Instance instance, String name, Connection connection) throws SQLException {
         INSTANCES.put(name, instance);
         try (Statement statement = connection.createStatement()) {
@@ -67,7 +79,7 @@
 
     private static Instance primary(Connection connection) throws SQLException {
         Instance instance = instance(connection);
-        if (!instance.isPrimary()) {
+        if (!instance.isPrimary() && REPLAYED_TIMELINE.get() == null) {
             throw new SQLException("recovery is in progress", "55000");
         }
         return instance;
@@ -98,7 +110,10 @@
 
     public static String walFileName(Connection connection, String position) throws SQLException {
         long segment = LogPosition.parse(position) >>> 24;
-        return String.format("%08X%08X%08X", primary(connection).timeline(), 0, segment);
+        Instance instance = primary(connection);
+        Long replayed = REPLAYED_TIMELINE.get();
+        long timeline = replayed == null ? instance.timeline() : replayed;
+        return String.format("%08X%08X%08X", timeline, 0, segment);
     }
 
     public static boolean promote(Connection connection) throws SQLException {
--- a/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/postgres/SqlErrors.java
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/postgres/SqlErrors.java
@@ -16,6 +16,7 @@
                     Map.entry("42S03", "42P01"),
                     Map.entry("42S04", "42P01"),
                     Map.entry("42S01", "42P07"),
+                    Map.entry("42S11", "42P07"),
                     Map.entry("42S22", "42703"),
                     Map.entry("42S21", "42701"),
                     Map.entry("42000", "42601"),
--- a/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/postgres/SqlSession.java
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/postgres/SqlSession.java
@@ -18,15 +18,17 @@
 import org.chivevale.endpoint.internal.instance.RoleSwitch;
 import org.chivevale.endpoint.internal.instance.SqlParameter;
 import org.chivevale.endpoint.internal.instance.StatementRunner;
+import org.chivevale.endpoint.internal.instance.WriteLock;
 
 /**
  * One client's session on the embedded engine: transactions, role, search path.
  *
- * <p>Invariants: the write lock is held exactly from the first write of a transaction to its end; a
- * failed transaction is rolled back at once and refuses everything until the client ends it. Used
- * by one thread, except {@link #cancel}.
+ * <p>Invariants: the write lock is held from the first write of a transaction to its end; a failed
+ * transaction is rolled back at once and refuses everything until the client ends it. Used by one
+ * thread, except {@link #cancel}.
  */
 final class SqlSession implements AutoCloseable {
+    private static final int UNKNOWN_TYPE = 50004;
     private static final long LOCK_TIMEOUT_MILLIS = 5000;
     private static final Set<String> WRITES =
             Set.of(
@@ -43,6 +45,10 @@
                     "comment");
     private static final Set<String> SCHEMA_CHANGES =
             Set.of("truncate", "create", "drop", "alter", "grant", "revoke", "comment");
+    private static final long UPGRADE_TIMEOUT_MILLIS = 200;
+    private static final Pattern SELECT = Pattern.compile("(?i)\\bselect\\b");
+    private static final Pattern OWN_REQUEST =
+            Pattern.compile("(?i)update chivevale\\.request set outcome");
     private static final Pattern SETTING =
             Pattern.compile(
                     "(?is)\\s*(?:set|reset)\\s+(local\\s+|session\\s+)?(\\w+)"
@@ -56,7 +62,7 @@
     private final List<LoggedStatement> pending = new ArrayList<>();
     private boolean inBlock;
     private boolean failed;
-    private boolean lockHeld;
+    private final WriteLock.Hold lock;
     private boolean readOnlyDefault;
     private boolean readOnlyTransaction;
     private String role;
@@ -68,6 +74,7 @@
 
     SqlSession(Instance instance) throws SQLException {
         this.instance = instance;
+        this.lock = instance.writeLock().new Hold();
         this.connection = instance.connect();
         this.connection.setAutoCommit(false);
     }
@@ -93,7 +100,18 @@
         if (failed) {
             throw aborted();
         }
-        return connection.prepareStatement(SqlTranslator.translate(statements.get(0).text()));
+        return prepareOnEngine(SqlTranslator.translate(statements.get(0).text()).sql());
+    }
+
+    private PreparedStatement prepareOnEngine(String sql) throws SQLException {
+        try {
+            return connection.prepareStatement(sql);
+        } catch (SQLException e) {
+            if (e.getErrorCode() != UNKNOWN_TYPE) {
+                throw e;
+            }
+            return connection.prepareStatement(SqlTranslator.castParameters(sql));
+        }
     }
 
     /** Runs one statement. */
@@ -125,7 +143,7 @@
         if (writes) {
             beforeWrite(first, statement.text());
         }
-        String sql = SqlTranslator.translate(statement.text());
+        String sql = SqlTranslator.translate(statement.text()).sql();
         SqlResult result = run(first, sql, parameters);
         if (writes) {
             pending.add(new LoggedStatement(sql, schema, role, List.copyOf(parameters)));
@@ -135,7 +153,7 @@
 
     private SqlResult run(String first, String sql, List<SqlParameter> parameters)
             throws SQLException {
-        PreparedStatement prepared = connection.prepareStatement(sql);
+        PreparedStatement prepared = prepareOnEngine(sql);
         running = prepared;
         try {
             StatementRunner.bind(prepared, parameters);
@@ -168,7 +186,7 @@
                     "release" ->
                     true;
             case "alter" -> statement.word(1).equals("system");
-            case "grant" -> SqlTranslator.isRoleGrant(statement.text());
+            case "grant" -> SqlTranslator.translate(statement.text()).roleGrant();
             default -> false;
         };
     }
@@ -224,7 +242,7 @@
                 return SqlResult.command("ALTER SYSTEM");
             }
             case "grant" -> {
-                return SqlTranslator.isRoleGrant(statement.text())
+                return SqlTranslator.translate(statement.text()).roleGrant()
                         ? SqlResult.command("GRANT ROLE")
                         : null;
             }
@@ -317,7 +335,7 @@
                             + " in a read-only transaction",
                     "25006");
         }
-        if (SqlTranslator.isNonDeterministic(sql)) {
+        if (SqlTranslator.translate(sql).nonDeterministic()) {
             throw new SQLException(
                     "the stand-in replicates statements, so it takes no changing functions",
                     "0A000");
@@ -325,17 +343,25 @@
         if (SCHEMA_CHANGES.contains(first) && inBlock) {
             throw new SQLException("schema changes are not supported in a transaction", "0A000");
         }
-        if (!lockHeld) {
-            lock();
+        takeLock(!replaysInAnyOrder(first, sql));
+    }
+
+    /** Tells whether the statement's replay gives the same whatever was committed before it. */
+    private static boolean replaysInAnyOrder(String first, String sql) {
+        if (first.equals("insert")) {
+            return !SELECT.matcher(sql).find();
         }
+        return OWN_REQUEST.matcher(sql).lookingAt();
     }
 
-    private void lock() throws SQLException {
+    private void takeLock(boolean exclusive) throws SQLException {
+        boolean upgrade = exclusive && lock.isShared();
         try {
-            if (!instance.lockForWrite(LOCK_TIMEOUT_MILLIS)) {
-                throw new SQLException("canceling statement due to lock timeout", "55P03");
+            if (!lock.acquire(exclusive, upgrade ? UPGRADE_TIMEOUT_MILLIS : LOCK_TIMEOUT_MILLIS)) {
+                throw upgrade
+                        ? new SQLException("deadlock detected", "40P01")
+                        : new SQLException("canceling statement due to lock timeout", "55P03");
             }
-            lockHeld = true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new SQLException("interrupted", "57014", e);
@@ -380,12 +406,12 @@
     private void undo() throws SQLException {
         connection.rollback();
         pending.clear();
-        unlock();
+        lock.release();
     }
 
     private void release() throws SQLException {
         pending.clear();
-        unlock();
+        lock.release();
         inBlock = false;
         failed = false;
         readOnlyTransaction = false;
@@ -396,13 +422,6 @@
         }
     }
 
-    private void unlock() {
-        if (lockHeld) {
-            lockHeld = false;
-            instance.unlockAfterWrite();
-        }
-    }
-
     private static SQLException aborted() {
         return new SQLException(
                 "current transaction is aborted, commands ignored until end of transaction block",
@@ -431,7 +450,7 @@
             connection.close();
         } catch (SQLException e) {
             // The engine has closed the connection already, which is what was wanted.
-            unlock();
+            lock.release();
         }
     }
 
--- a/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/postgres/SqlTranslator.java
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/internal/postgres/SqlTranslator.java
@@ -1,5 +1,7 @@
 package org.chivevale.endpoint.internal.postgres;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.chivevale.endpoint.internal.instance.SystemFunctions;
@@ -7,7 +9,7 @@
 /**
  * Rewrites the few forms of PostgreSQL's SQL that the embedded engine writes differently.
  *
- * <p>Stateless and thread safe.
+ * <p>Translations are kept, since clients send few texts many times. Thread safe.
  */
 final class SqlTranslator {
     private static final String NAMES =
@@ -25,14 +27,38 @@
             Pattern.compile("(?is)\\s*grant\\s+\"?[a-z0-9_-]+\"?\\s+to\\s+current_user\\s*");
     private static final Pattern RETURNING =
             Pattern.compile("(?is)^(\\s*(insert|update|delete)\\b.*)\\breturning\\s+([^']*)$");
+    private static final Pattern PARAMETER = Pattern.compile("(?<![\\w(])\\$(\\d+)(?!\\s*::)");
     private static final Pattern NON_DETERMINISTIC =
             Pattern.compile(
                     "(?i)\\b(now\\s*\\(|current_timestamp|localtimestamp|current_time|current_date"
                             + "|clock_timestamp|random\\s*\\(|random_uuid|gen_random_uuid|rand\\s*\\()");
 
+    private static final int CACHE_ENTRIES = 2000;
+    private static final Map<String, Translated> CACHE = new ConcurrentHashMap<>();
+
     private SqlTranslator() {}
 
-    static String translate(String sql) {
+    /** A statement as the engine takes it, with what must be known before it runs. */
+    record Translated(String sql, boolean roleGrant, boolean nonDeterministic) {}
+
+    static Translated translate(String sql) {
+        Translated known = CACHE.get(sql);
+        if (known != null) {
+            return known;
+        }
+        Translated translated =
+                new Translated(
+                        rewrite(sql),
+                        GRANT_ROLE.matcher(sql).matches(),
+                        NON_DETERMINISTIC.matcher(sql).find());
+        if (CACHE.size() >= CACHE_ENTRIES) {
+            CACHE.clear();
+        }
+        CACHE.put(sql, translated);
+        return translated;
+    }
+
+    private static String rewrite(String sql) {
         String lower = sql;
         if (sql.contains("pg_")) {
             lower = FUNCTION.matcher(lower).replaceAll(SystemFunctions.SCHEMA + ".$1(");
@@ -60,13 +86,8 @@
         return lower;
     }
 
-    /** Tells whether the statement needs no work here, because the login role may use any role. */
-    static boolean isRoleGrant(String sql) {
-        return GRANT_ROLE.matcher(sql).matches();
-    }
-
-    /** Tells whether a replay of the statement could give another result. */
-    static boolean isNonDeterministic(String sql) {
-        return NON_DETERMINISTIC.matcher(sql).find();
+    /** Gives parameters whose type can't be told from their place the type text. */
+    static String castParameters(String sql) {
+        return PARAMETER.matcher(sql).replaceAll("CAST(\\$$1 AS VARCHAR)");
     }
 }
--- a/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
@@ -38,7 +38,7 @@
         words.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         words.add("-Xmx" + heapMegabytes + "m");
         words.add("-XX:+UseSerialGC");
-        words.add("-XX:TieredStopAtLevel=" + (heapMegabytes > 100 ? 4 : 1));
+        words.add("-XX:TieredStopAtLevel=1");
         words.add("-Xshare:auto");
         words.add("-cp");
         words.add(System.getProperty("java.class.path"));
--- /dev/null
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/run/LoadRun.java
@@ -0,0 +1,149 @@
+package org.chivevale.load.run;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.chivevale.load.check.History;
+
+/**
+ * Sends load and records what callers saw.
+ *
+ * <p>Open loop: requests are sent when they are due, whatever became of earlier ones. Started by
+ * one thread; everything else runs on an event loop of its own.
+ */
+public final class LoadRun {
+    private static final long TICK_MILLIS = 1;
+    private static final int CONNECTIONS_PER_PROXY = 256;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final LoadPlan plan;
+    private final History history = new History();
+    private final WriteGaps gaps = new WriteGaps();
+    private final Map<String, AccountResult> results = new LinkedHashMap<>();
+    private final List<AccountCallers> callers = new ArrayList<>();
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private Vertx vertx;
+    private HttpClient client;
+    private long endNanos;
+    private long timer;
+
+    /**
+     * Describes a run that is not started.
+     *
+     * @param plan what it does
+     */
+    public LoadRun(LoadPlan plan) {
+        this.plan = plan;
+    }
+
+    /**
+     * Starts to send.
+     *
+     * @return completes when all requests have ended
+     */
+    public CompletableFuture<Void> start() {
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        client =
+                vertx.createHttpClient(
+                        new HttpClientOptions().setConnectTimeout(1000).setTcpNoDelay(true),
+                        new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PROXY));
+        vertx.getOrCreateContext().runOnContext(ignored -> begin());
+        return ended;
+    }
+
+    private void begin() {
+        long now = System.nanoTime();
+        endNanos = now + plan.durationMillis() * NANOS_PER_MILLI;
+        SplittableRandom random = new SplittableRandom(plan.seed());
+        for (LoadPlan.AccountLoad account : plan.accounts()) {
+            AccountResult result = new AccountResult();
+            results.put(account.name(), result);
+            callers.add(
+                    new AccountCallers(
+                            plan,
+                            account,
+                            vertx,
+                            client,
+                            history,
+                            gaps,
+                            result,
+                            random.split(),
+                            now));
+        }
+        timer = vertx.setPeriodic(TICK_MILLIS, ignored -> tick());
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        boolean sending = now - endNanos < 0;
+        boolean idle = true;
+        for (AccountCallers one : callers) {
+            one.tick(now, sending);
+            idle &= one.idle();
+        }
+        if (!sending && idle) {
+            vertx.cancelTimer(timer);
+            ended.complete(null);
+        }
+    }
+
+    /** Releases everything. */
+    public void close() {
+        try {
+            vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * Returns what callers saw.
+     *
+     * @return the live history
+     */
+    public History history() {
+        return history;
+    }
+
+    /**
+     * Returns the gaps in acknowledged writes.
+     *
+     * @return to be read after the run
+     */
+    public WriteGaps gaps() {
+        return gaps;
+    }
+
+    /**
+     * Returns what each client account got.
+     *
+     * @return to be read after the run
+     */
+    public Map<String, AccountResult> results() {
+        return results;
+    }
+
+    /**
+     * Lists the sessions that wrote, with the slot each used.
+     *
+     * @return slots by session
+     */
+    public Map<String, Integer> sessionSlots() {
+        Map<String, Integer> slots = new LinkedHashMap<>();
+        callers.forEach(one -> slots.putAll(one.sessionSlots()));
+        return slots;
+    }
+}
--- /dev/null
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/run/package-info.java
@@ -0,0 +1,2 @@
+/** Callers that send load and record what they saw. */
+package org.chivevale.load.run;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/health/Prober.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/health/Prober.java
@@ -1,5 +1,6 @@
 package org.chivevale.proxy.internal.health;
 
+import io.vertx.core.Future;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -12,22 +13,27 @@
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
 import org.chivevale.database.DatabaseConnection;
+import org.chivevale.database.DatabaseFailure;
+import org.chivevale.database.PrimaryStatus;
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RenewalPart;
+import org.chivevale.proxy.internal.pool.InstanceKey;
 import org.chivevale.proxy.internal.pool.InstancePool;
 import org.chivevale.proxy.internal.pool.PoolService;
 import org.chivevale.proxy.internal.request.GroupHistories;
+import org.chivevale.wire.proto.EndpointMember;
 import org.chivevale.wire.proto.HealthReport;
 import org.chivevale.wire.proto.RenewRequest;
 
 /**
  * Probes primaries: those that this proxy was chosen for, and those whose groups are read here.
  *
- * <p>A probe asks the primary's position, which also dates the data of replicas. Used on the event
- * loop.
+ * <p>A probe asks the primary's position, which also dates the data of replicas. Invariant: only
+ * questions that were sent and left unanswered, and connections that failed, count as silence; a
+ * pause of this process or a wait for a free connection does not. Used on the event loop.
  */
 public final class Prober implements Service, RenewalPart {
     /** Name in the kernel. */
@@ -41,14 +47,36 @@
     private final PoolService pools;
     private final GroupHistories histories;
     private final Map<GroupId, Probe> probes = new HashMap<>();
+    private final Set<InstanceKey> probedReplicas = new HashSet<>();
     private Set<GroupId> assigned = Set.of();
     private ControlLink link;
+    private long tickedNanos;
+    private long ownPauseNanos;
 
+    /** What is known of one primary; times are of this proxy's monotonic clock. */
     private static final class Probe {
         long term;
         long aliveNanos;
         boolean running;
         boolean suspect;
+
+        /** When the oldest question was sent that the primary has left unanswered; 0 for none. */
+        long unansweredSinceNanos;
+
+        void answered(long nowNanos) {
+            aliveNanos = nowNanos;
+            unansweredSinceNanos = 0;
+        }
+
+        void unanswered(long askedNanos) {
+            if (unansweredSinceNanos == 0) {
+                unansweredSinceNanos = askedNanos;
+            }
+        }
+
+        boolean silentFor(long nanos, long nowNanos) {
+            return unansweredSinceNanos != 0 && nowNanos - unansweredSinceNanos > nanos;
+        }
     }
 
     /**
@@ -99,6 +127,9 @@
 
     private void tick() {
         long now = EventLoop.nowNanos();
+        long periodNanos = settings.timing().probeMillis() * NANOS_PER_MILLI;
+        ownPauseNanos = tickedNanos == 0 ? 0 : Math.max(0, now - tickedNanos - 2 * periodNanos);
+        tickedNanos = now;
         Set<GroupId> wanted = new HashSet<>(assigned);
         wanted.addAll(histories.activeGroups(now));
         boolean newlySuspect = false;
@@ -106,6 +137,9 @@
             Group group = directory.configuration().group(id);
             if (group.primary() != null && directory.leased(now)) {
                 newlySuspect |= probe(group, now);
+                if (histories.active(id, now)) {
+                    directory.replicas(group).forEach(member -> askReplica(group, member));
+                }
             }
         }
         if (newlySuspect) {
@@ -118,15 +152,16 @@
         InstancePool pool = pools.primary(group);
         if (probe.term != group.term()) {
             probe.term = group.term();
-            probe.aliveNanos = nowNanos;
-            probe.suspect = false;
+            probe.answered(nowNanos);
         }
         if (pool.stats().lastAliveNanos() - probe.aliveNanos > 0) {
-            probe.aliveNanos = pool.stats().lastAliveNanos();
+            probe.answered(pool.stats().lastAliveNanos());
+        }
+        if (probe.unansweredSinceNanos != 0) {
+            probe.unansweredSinceNanos += ownPauseNanos;
         }
         boolean silent =
-                nowNanos - probe.aliveNanos
-                        > settings.timing().suspectAfterMillis() * NANOS_PER_MILLI;
+                probe.silentFor(settings.timing().suspectAfterMillis() * NANOS_PER_MILLI, nowNanos);
         boolean newlySuspect = silent && !probe.suspect && assigned.contains(group.id());
         probe.suspect = silent;
         if (!probe.running) {
@@ -139,36 +174,67 @@
         probe.running = true;
         long patience = settings.timing().suspectAfterMillis() * NANOS_PER_MILLI;
         pool.acquire(SYSTEM, nowNanos + patience)
+                .onFailure(
+                        failure -> {
+                            if (failure instanceof DatabaseFailure) {
+                                probe.unanswered(nowNanos);
+                            }
+                        })
+                .compose(connection -> askOn(connection, group, pool, probe))
+                .onComplete(ended -> probe.running = false);
+    }
+
+    private Future<PrimaryStatus> askOn(
+            DatabaseConnection connection, Group group, InstancePool pool, Probe probe) {
+        long asked = EventLoop.nowNanos();
+        probe.unanswered(asked);
+        return connection
+                .primaryStatus()
+                .timeout(settings.timing().suspectAfterMillis(), TimeUnit.MILLISECONDS)
+                .onSuccess(
+                        status -> {
+                            long now = EventLoop.nowNanos();
+                            probe.answered(now);
+                            pool.stats().answered(now - asked, now);
+                            if (status.timeline() == group.term()) {
+                                histories.sample(
+                                        directory.configuration().group(group.id()),
+                                        group.term(),
+                                        asked,
+                                        status.position());
+                            }
+                        })
+                .onFailure(failure -> connection.close())
+                .onComplete(ended -> pool.release(connection));
+    }
+
+    private void askReplica(Group group, EndpointMember member) {
+        InstancePool pool = pools.member(member);
+        if (!probedReplicas.add(pool.key())) {
+            return;
+        }
+        long patience = settings.timing().suspectAfterMillis();
+        pool.acquire(SYSTEM, EventLoop.nowNanos() + patience * NANOS_PER_MILLI)
                 .compose(
                         connection -> {
                             long asked = EventLoop.nowNanos();
                             return connection
-                                    .primaryStatus()
-                                    .timeout(
-                                            settings.timing().suspectAfterMillis(),
-                                            TimeUnit.MILLISECONDS)
-                                    .onSuccess(
-                                            status -> {
-                                                long now = EventLoop.nowNanos();
-                                                pool.stats().answered(now - asked, now);
-                                                if (status.timeline() == group.term()) {
-                                                    histories.sample(
-                                                            directory
-                                                                    .configuration()
-                                                                    .group(group.id()),
-                                                            group.term(),
-                                                            asked,
-                                                            status.position());
-                                                }
-                                            })
-                                    .onFailure(failure -> closeBroken(connection))
+                                    .replicaPosition()
+                                    .timeout(patience, TimeUnit.MILLISECONDS)
+                                    .onSuccess(position -> reached(group, pool, position, asked))
+                                    .onFailure(failure -> connection.close())
                                     .onComplete(ended -> pool.release(connection));
                         })
-                .onComplete(ended -> probe.running = false);
+                .onComplete(ended -> probedReplicas.remove(pool.key()));
     }
 
-    private static void closeBroken(DatabaseConnection connection) {
-        connection.close();
+    private void reached(Group group, InstancePool pool, long position, long askedNanos) {
+        long now = EventLoop.nowNanos();
+        pool.stats().answered(now - askedNanos, now);
+        Group current = directory.configuration().group(group.id());
+        if (current.term() == group.term()) {
+            pool.stats().reached(position, histories.of(current).lagNanos(position, askedNanos));
+        }
     }
 
     @Override
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/ReadExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/ReadExecutor.java
@@ -188,7 +188,7 @@
         long now = EventLoop.nowNanos();
         PositionHistory history = context.histories().of(group);
         pool.stats().answered(now - askedNanos, now);
-        pool.stats().reached(answer.position(), lagNanos(history, answer.position(), now));
+        pool.stats().reached(answer.position(), history.lagNanos(answer.position(), askedNanos));
         if (answer.results().isEmpty()) {
             replicaMisses++;
             return attempt();
@@ -220,10 +220,6 @@
                 : session.raise(request.group(), seen);
     }
 
-    private static long lagNanos(PositionHistory history, long position, long nowNanos) {
-        return position >= history.highest() ? 0 : history.ageBoundNanos(position, nowNanos);
-    }
-
     private Future<CallerAnswer> afterFailure(
             Throwable failure, InstancePool pool, ReadChoice choice) {
         DatabaseFailure.Kind kind = AttemptFailures.kind(failure);
--- /dev/null
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/system/FailoverTest.java
@@ -0,0 +1,135 @@
+package org.chivevale.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.chivevale.load.deployment.Deployment;
+import org.chivevale.load.run.LoadPlan;
+import org.chivevale.load.run.LoadReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Replacing primaries under load, with real processes. */
+class FailoverTest {
+    private static final LoadPlan.Mix MIX = new LoadPlan.Mix(0.5, 0.2, 1000);
+    private static final String GROUP = SharedDeployment.DATABASE + ".0";
+    private static final double SENT_PER_SECOND = 150;
+    private static final long LOAD_MILLIS = 6000;
+
+    private Deployment deployment;
+
+    @AfterEach
+    void stop() {
+        deployment.close();
+    }
+
+    private LoadedDeployment load(long seed) {
+        deployment = new Deployment(SharedDeployment.plan(3, 1), SharedDeployment.newFolder());
+        deployment.start();
+        return new LoadedDeployment(deployment, SENT_PER_SECOND, MIX, LOAD_MILLIS, seed).begin();
+    }
+
+    private static void sleep(long millis) throws InterruptedException {
+        Thread.sleep(millis);
+    }
+
+    private String primary() {
+        Deployment.await("a primary", () -> !deployment.primaryOf(GROUP).isEmpty());
+        return deployment.primaryOf(GROUP);
+    }
+
+    private void awaitAnotherPrimary(String old) {
+        Deployment.await(
+                "another primary",
+                () -> {
+                    String now = deployment.primaryOf(GROUP);
+                    return !now.isEmpty() && !now.equals(old);
+                });
+    }
+
+    private static void requireKept(LoadReport report) {
+        assertEquals(List.of(), report.violations(), report.text());
+        assertTrue(report.json().path("writes_checked").asLong() > 300, report.text());
+    }
+
+    @Test
+    void aKilledPrimaryIsReplacedAndNoAcknowledgedWriteIsLost() throws InterruptedException {
+        LoadedDeployment loaded = load(1);
+        sleep(1500);
+        String old = primary();
+        deployment.endpoints().get(old).process().kill();
+        Deployment.await(
+                "another primary",
+                () ->
+                        !deployment.primaryOf(GROUP).isEmpty()
+                                && !deployment.primaryOf(GROUP).equals(old));
+        sleep(500);
+        deployment.endpoints().get(old).process().start();
+        LoadReport report = loaded.finish();
+        requireKept(report);
+        assertNotEquals(old, deployment.primaryOf(GROUP));
+    }
+
+    @Test
+    void anIsolatedPrimaryIsReplacedAndComesBackAsAReplica() throws InterruptedException {
+        LoadedDeployment loaded = load(2);
+        sleep(1500);
+        String old = primary();
+        deployment.fault(old, "{\"silent\": true}");
+        Deployment.await(
+                "another primary",
+                () ->
+                        !deployment.primaryOf(GROUP).isEmpty()
+                                && !deployment.primaryOf(GROUP).equals(old));
+        sleep(500);
+        deployment.fault(old, "{\"silent\": false}");
+        LoadReport report = loaded.finish();
+        requireKept(report);
+        assertNotEquals(old, deployment.primaryOf(GROUP));
+    }
+
+    @Test
+    void aHandOverMovesThePrimary() throws InterruptedException {
+        LoadedDeployment loaded = load(3);
+        sleep(1500);
+        String old = primary();
+        deployment
+                .admin()
+                .carryOut(
+                        CallerClient.MAPPER
+                                .createObjectNode()
+                                .put("kind", "hand-over")
+                                .put("group", GROUP));
+        Deployment.await(
+                "another primary",
+                () ->
+                        !deployment.primaryOf(GROUP).isEmpty()
+                                && !deployment.primaryOf(GROUP).equals(old));
+        LoadReport report = loaded.finish();
+        requireKept(report);
+    }
+
+    @Test
+    void aLeavingPrimaryHandsOverBeforeItGoes() throws InterruptedException {
+        LoadedDeployment loaded = load(4);
+        sleep(1500);
+        String old = primary();
+        deployment.endpoints().get(old).process().askToStop();
+        Deployment.await(
+                "another primary",
+                () ->
+                        !deployment.primaryOf(GROUP).isEmpty()
+                                && !deployment.primaryOf(GROUP).equals(old));
+        Deployment.await(
+                "the endpoint has ended",
+                () -> !deployment.endpoints().get(old).process().isAlive());
+        deployment.endpoints().get(old).process().start();
+        LoadReport report = loaded.finish();
+        requireKept(report);
+        JsonNode status = deployment.admin().get("/v1/status");
+        assertEquals("", status.path("groups").path(0).path("blocked").asText(), status.toString());
+    }
+}
--- /dev/null
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/system/FaultProxy.java
@@ -0,0 +1,200 @@
+package org.chivevale.system;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.load.deployment.FreePorts;
+
+/** A TCP proxy that injects faults between two processes. Thread safe. */
+final class FaultProxy implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+
+    private final HostPort target;
+    private final HostPort listen;
+    private final ServerSocket server;
+    private final Set<Pair> pairs = ConcurrentHashMap.newKeySet();
+    private volatile boolean refuseNew;
+    private volatile boolean silentNew;
+    private volatile int delayMillis;
+    private volatile boolean closed;
+    private volatile int resetAnswerAfterBytes = -1;
+
+    /** One connection through the proxy. */
+    private final class Pair {
+        final Socket near;
+        final Socket far;
+        volatile boolean silent;
+        volatile int answered;
+
+        Pair(Socket near, Socket far) {
+            this.near = near;
+            this.far = far;
+        }
+
+        void close(boolean reset) {
+            try {
+                if (reset) {
+                    near.setSoLinger(true, 0);
+                }
+                near.close();
+                far.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            pairs.remove(this);
+        }
+    }
+
+    FaultProxy(HostPort target) {
+        this.target = target;
+        this.listen = FreePorts.next();
+        try {
+            server = new ServerSocket();
+            server.setReuseAddress(true);
+            server.bind(new InetSocketAddress(listen.host(), listen.port()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        start(this::accept);
+    }
+
+    HostPort address() {
+        return listen;
+    }
+
+    /** Closes all connections and refuses new ones, or takes them again. */
+    void cut(boolean cut) {
+        refuseNew = cut;
+        if (cut) {
+            pairs.forEach(pair -> pair.close(true));
+        }
+    }
+
+    /** Lets open connections go silent for good; new ones work. */
+    void silenceOpen() {
+        pairs.forEach(pair -> pair.silent = true);
+    }
+
+    /** Lets open and new connections be silent, or lets new ones work again. */
+    void silence(boolean silent) {
+        silentNew = silent;
+        if (silent) {
+            silenceOpen();
+        } else {
+            pairs.forEach(pair -> pair.close(false));
+        }
+    }
+
+    void delay(int millis) {
+        delayMillis = millis;
+    }
+
+    /** Resets each connection once so many more bytes of answers have passed; -1 for never. */
+    void resetAnswersAfter(int bytes) {
+        pairs.forEach(pair -> pair.answered = 0);
+        resetAnswerAfterBytes = bytes;
+    }
+
+    int openConnections() {
+        return pairs.size();
+    }
+
+    private static void start(Runnable body) {
+        Thread thread = new Thread(body, "fault-proxy");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        while (!closed) {
+            try {
+                Socket near = server.accept();
+                if (refuseNew) {
+                    near.setSoLinger(true, 0);
+                    near.close();
+                    continue;
+                }
+                start(() -> connect(near));
+            } catch (IOException e) {
+                if (!closed) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        }
+    }
+
+    private void connect(Socket near) {
+        try {
+            Socket far = new Socket(target.host(), target.port());
+            near.setTcpNoDelay(true);
+            far.setTcpNoDelay(true);
+            Pair pair = new Pair(near, far);
+            pair.silent = silentNew;
+            pairs.add(pair);
+            start(() -> pump(pair, near, far, false));
+            start(() -> pump(pair, far, near, true));
+        } catch (IOException e) {
+            closeQuietly(near);
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void pump(Pair pair, Socket from, Socket to, boolean answers) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            int read = in.read(buffer);
+            while (read >= 0) {
+                if (delayMillis > 0) {
+                    Thread.sleep(delayMillis);
+                }
+                if (!pair.silent) {
+                    if (answers && mustReset(pair, read)) {
+                        pair.close(true);
+                        return;
+                    }
+                    out.write(buffer, 0, read);
+                }
+                read = in.read(buffer);
+            }
+            if (!pair.silent) {
+                pair.close(false);
+            }
+        } catch (IOException e) {
+            pair.close(true);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean mustReset(Pair pair, int read) {
+        pair.answered += read;
+        return resetAnswerAfterBytes >= 0 && pair.answered > resetAnswerAfterBytes;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        pairs.forEach(pair -> pair.close(false));
+    }
+}
