--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -50,6 +50,7 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 20;
+    private static final long SWEEP_MILLIS = 250;
     private static final long REPORT_LIFE_NANOS = 2_500 * NANOS_PER_MILLI;
     private static final int CONNECTIONS_FOR_CONTROL = 2;
 
@@ -68,6 +69,7 @@
     private FrameServer server;
     private Counter renewals;
     private Timer inForceTimer;
+    private long seenVersion;
     private long pushedConfigVersion;
     private long pushedMembersVersion;
 
@@ -90,6 +92,7 @@
         HostPort listen = settings.wireListen();
         server = new FrameServer(listen.host(), listen.port(), new Listener());
         loop.every(TICK_MILLIS, this::tick);
+        loop.every(SWEEP_MILLIS, this::sweep);
     }
 
     private void meters(MeterRegistry registry) {
@@ -115,16 +118,40 @@
         long started = System.currentTimeMillis();
         membership = new Membership(state.configuration(), started << 16);
         rates = new RateOwners(state.configuration(), started << 16);
+        seenVersion = state.configuration().version();
         state.listen(this::stateChanged);
     }
 
     private void stateChanged() {
-        inForce.accepted(state.history());
-        membership.configurationChanged();
+        List<LogEntry> entries = state.entriesAfter(seenVersion);
+        seenVersion = state.configuration().version();
+        if (entries == null) {
+            membership.configurationChanged();
+        } else {
+            inForce.accepted(entries);
+            if (entries.stream().anyMatch(FleetService::changesPrimary)) {
+                membership.configurationChanged();
+            }
+        }
         push();
     }
 
+    private static boolean changesPrimary(LogEntry entry) {
+        return entry.getChangesList().stream().anyMatch(Change::hasGroupState);
+    }
+
     private void tick() {
+        long now = EventLoop.nowNanos();
+        if (inForce.pending()) {
+            for (long tookMillis : inForce.check(leases, now, System.currentTimeMillis())) {
+                inForceTimer.record(Duration.ofMillis(tookMillis));
+            }
+        }
+        push();
+    }
+
+    /** Forgets who has left or fallen silent; costs a look at each proxy and instance. */
+    private void sweep() {
         long now = EventLoop.nowNanos();
         membership.sweep(now);
         leases.sweep(now);
@@ -134,10 +161,6 @@
                 proxyGone(proxy);
             }
         }
-        for (long tookMillis : inForce.check(leases, now, System.currentTimeMillis())) {
-            inForceTimer.record(Duration.ofMillis(tookMillis));
-        }
-        push();
     }
 
     private void proxyGone(ProxyMemberState proxy) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InForceTracker.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InForceTracker.java
@@ -51,6 +51,15 @@
         }
     }
 
+    /**
+     * Tells whether an entry is not in force everywhere yet.
+     *
+     * @return false when there is nothing to check
+     */
+    public boolean pending() {
+        return !tracked.isEmpty() && tracked.peekLast().inForceUnixMillis() == 0;
+    }
+
     /**
      * Notes what has come into force.
      *
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -13,6 +13,7 @@
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
+import org.chivevale.core.session.SessionTokenCodec;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.wire.proto.AccountPut;
 import org.chivevale.wire.proto.Change;
@@ -46,6 +47,7 @@
     private final Map<String, FailoverStep> failovers = new TreeMap<>();
     private final Map<String, PlanStored> plans = new LinkedHashMap<>();
     private byte[] sessionSecret = new byte[0];
+    private SessionTokenCodec sessionTokens;
 
     /**
      * Applies the next entry.
@@ -100,7 +102,7 @@
                             change.getDatabaseCredentialPut().getHash().toByteArray());
             case GROUP_STATE -> putGroup(change.getGroupState());
             case SESSION_SECRET_PUT ->
-                    sessionSecret = change.getSessionSecretPut().getSecret().toByteArray();
+                    putSessionSecret(change.getSessionSecretPut().getSecret().toByteArray());
             case OPEN_ROUTE_PUT -> putOpenRoute(change.getOpenRoutePut());
             case OPEN_ROUTE_REMOVED -> openRoutes.remove(change.getOpenRouteRemoved().getName());
             case FAILOVER_STEP -> putFailover(change.getFailoverStep());
@@ -110,6 +112,11 @@
         }
     }
 
+    private void putSessionSecret(byte[] secret) {
+        sessionSecret = secret;
+        sessionTokens = secret.length == 0 ? null : new SessionTokenCodec(secret);
+    }
+
     private void putAccount(AccountPut put) {
         ClientAccountId id = new ClientAccountId(put.getAccountId());
         accounts.put(
@@ -422,6 +429,15 @@
         return sessionSecret.clone();
     }
 
+    /**
+     * Returns what writes and reads session tokens.
+     *
+     * @return null before the first entry
+     */
+    public SessionTokenCodec sessionTokens() {
+        return sessionTokens;
+    }
+
     /**
      * Returns everything as changes that rebuild it.
      *
--- a/org.chivevale.core/src/main/java/org/chivevale/core/session/SessionTokenCodec.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/session/SessionTokenCodec.java
@@ -32,7 +32,7 @@
     private static final int MAX_TEXT_CHARS = 32 * 1024;
     private static final String ALGORITHM = "HmacSHA256";
 
-    private final SecretKeySpec secret;
+    private final Mac prototype;
 
     /**
      * Creates a codec.
@@ -40,7 +40,12 @@
      * @param secret the secret that all proxies share
      */
     public SessionTokenCodec(byte[] secret) {
-        this.secret = new SecretKeySpec(secret, ALGORITHM);
+        try {
+            prototype = Mac.getInstance(ALGORITHM);
+            prototype.init(new SecretKeySpec(secret, ALGORITHM));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     /**
@@ -119,13 +124,17 @@
     }
 
     private byte[] tag(ClientAccountId account, byte[] body) {
+        Mac mac = keyed();
+        mac.update(account.value().getBytes(StandardCharsets.UTF_8));
+        mac.update((byte) 0);
+        return mac.doFinal(body);
+    }
+
+    /** Returns a fresh authenticator; a copy of a keyed one is cheaper than keying another. */
+    private Mac keyed() {
         try {
-            Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(secret);
-            mac.update(account.value().getBytes(StandardCharsets.UTF_8));
-            mac.update((byte) 0);
-            return mac.doFinal(body);
-        } catch (GeneralSecurityException e) {
+            return (Mac) prototype.clone();
+        } catch (CloneNotSupportedException e) {
             throw new IllegalStateException(e);
         }
     }
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/Commands.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/Commands.java
@@ -19,7 +19,7 @@
  *
  * <p>Each is used by one thread.
  */
-final class Commands {
+public final class Commands {
     private Commands() {}
 
     private static void putNumber(ObjectNode intent, String name, Number value) {
@@ -59,16 +59,18 @@
         }
     }
 
+    /** Make a random key, such as a first operator's. */
     @Command(name = "new-key", description = "Make a random key, such as a first operator's")
-    static final class NewKey extends CtlCommand {
+    public static final class NewKey extends CtlCommand {
         @Override
         void runCommand() {
             print(ClientKey.random(new SecureRandom()).reveal());
         }
     }
 
+    /** Plan an intent from a JSON file. */
     @Command(name = "plan", description = "Plan an intent from a JSON file")
-    static final class Plan extends CtlCommand {
+    public static final class Plan extends CtlCommand {
         @Arguments(title = "FILE", description = "The intent; - for standard input")
         @Required
         private String file;
@@ -84,8 +86,9 @@
         }
     }
 
+    /** Carry out a plan from a JSON file. */
     @Command(name = "confirm", description = "Carry out a plan from a JSON file")
-    static final class Confirm extends CtlCommand {
+    public static final class Confirm extends CtlCommand {
         @Arguments(title = "FILE", description = "The plan as printed; - for standard input")
         @Required
         private String file;
@@ -122,8 +125,9 @@
         }
     }
 
+    /** Show leases, groups, members and changes. */
     @Command(name = "status", description = "Show leases, groups, members and changes")
-    static final class Status extends ReadCommand {
+    public static final class Status extends ReadCommand {
         @Override
         String path() {
             return "/v1/status";
@@ -135,24 +139,27 @@
         }
     }
 
+    /** Show the configuration in force. */
     @Command(name = "configuration", description = "Show the configuration in force")
-    static final class ShowConfiguration extends ReadCommand {
+    public static final class ShowConfiguration extends ReadCommand {
         @Override
         String path() {
             return "/v1/configuration";
         }
     }
 
+    /** Show who changed what and when. */
     @Command(name = "history", description = "Show who changed what and when")
-    static final class History extends ReadCommand {
+    public static final class History extends ReadCommand {
         @Override
         String path() {
             return "/v1/history";
         }
     }
 
+    /** Show the measures. */
     @Command(name = "report", description = "Show the measures")
-    static final class Report extends ReadCommand {
+    public static final class Report extends ReadCommand {
         @Override
         String path() {
             return "/v1/report";
@@ -199,24 +206,27 @@
         }
     }
 
+    /** Create a client account. */
     @Command(name = "create", description = "Create a client account")
-    static final class AccountCreate extends AccountCommand {
+    public static final class AccountCreate extends AccountCommand {
         @Override
         ObjectNode intent() {
             return describe("account-create");
         }
     }
 
+    /** Change rate, burst, databases or objective. */
     @Command(name = "set", description = "Change rate, burst, databases or objective")
-    static final class AccountChange extends AccountCommand {
+    public static final class AccountChange extends AccountCommand {
         @Override
         ObjectNode intent() {
             return describe("account-change");
         }
     }
 
+    /** Remove a client account and its keys. */
     @Command(name = "remove", description = "Remove a client account and its keys")
-    static final class AccountRemove extends IntentCommand {
+    public static final class AccountRemove extends IntentCommand {
         @Arguments(title = "ACCOUNT", description = "The client account")
         @Required
         private String account;
@@ -227,8 +237,9 @@
         }
     }
 
+    /** Create a key of a client account; it is shown once. */
     @Command(name = "create", description = "Create a key of a client account; it is shown once")
-    static final class KeyCreate extends IntentCommand {
+    public static final class KeyCreate extends IntentCommand {
         @Arguments(title = "ACCOUNT", description = "The client account")
         @Required
         private String account;
@@ -239,8 +250,9 @@
         }
     }
 
+    /** Withdraw a key. */
     @Command(name = "withdraw", description = "Withdraw a key")
-    static final class KeyWithdraw extends IntentCommand {
+    public static final class KeyWithdraw extends IntentCommand {
         @Arguments(title = "KEY_ID", description = "The key's public id")
         @Required
         private String keyId;
@@ -251,8 +263,9 @@
         }
     }
 
+    /** Create a database and its announcement credential. */
     @Command(name = "create", description = "Create a database and its announcement credential")
-    static final class DatabaseCreate extends IntentCommand {
+    public static final class DatabaseCreate extends IntentCommand {
         @Arguments(title = "DATABASE", description = "The database")
         @Required
         private String database;
@@ -286,8 +299,9 @@
         }
     }
 
+    /** Change a database. */
     @Command(name = "set", description = "Change a database")
-    static final class DatabaseChange extends IntentCommand {
+    public static final class DatabaseChange extends IntentCommand {
         @Arguments(title = "DATABASE", description = "The database")
         @Required
         private String database;
@@ -313,8 +327,9 @@
         }
     }
 
+    /** Replace the announcement credential. */
     @Command(name = "replace-credential", description = "Replace the announcement credential")
-    static final class CredentialReplace extends IntentCommand {
+    public static final class CredentialReplace extends IntentCommand {
         @Arguments(title = "DATABASE", description = "The database")
         @Required
         private String database;
@@ -325,8 +340,9 @@
         }
     }
 
+    /** Hand a group over to another primary. */
     @Command(name = "hand-over", description = "Hand a group over to another primary")
-    static final class HandOver extends IntentCommand {
+    public static final class HandOver extends IntentCommand {
         @Arguments(title = "GROUP", description = "The group, database.slot")
         @Required
         private String group;
@@ -345,10 +361,11 @@
         }
     }
 
+    /** Promote below the quorum; acknowledged writes may be lost. */
     @Command(
             name = "promote-with-loss",
             description = "Promote below the quorum; acknowledged writes may be lost")
-    static final class PromoteWithLoss extends IntentCommand {
+    public static final class PromoteWithLoss extends IntentCommand {
         @Arguments(title = "GROUP", description = "The group, database.slot")
         @Required
         private String group;
@@ -359,8 +376,9 @@
         }
     }
 
+    /** Open a read to everybody. */
     @Command(name = "open", description = "Open a read to everybody")
-    static final class RouteOpen extends IntentCommand {
+    public static final class RouteOpen extends IntentCommand {
         @Arguments(title = "NAME", description = "The route's name in the path")
         @Required
         private String name;
@@ -403,8 +421,9 @@
         }
     }
 
+    /** Close an open route. */
     @Command(name = "close", description = "Close an open route")
-    static final class RouteClose extends IntentCommand {
+    public static final class RouteClose extends IntentCommand {
         @Arguments(title = "NAME", description = "The route's name")
         @Required
         private String name;
@@ -415,8 +434,9 @@
         }
     }
 
+    /** Create an operator or replace the operator's key. */
     @Command(name = "create", description = "Create an operator or replace the operator's key")
-    static final class OperatorCreate extends IntentCommand {
+    public static final class OperatorCreate extends IntentCommand {
         @Arguments(title = "OPERATOR", description = "The operator's name")
         @Required
         private String operator;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/http/CallerService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/http/CallerService.java
@@ -23,7 +23,6 @@
 import org.chivevale.core.kernel.ProcessLifetime;
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.session.SessionToken;
-import org.chivevale.core.session.SessionTokenCodec;
 import org.chivevale.core.statement.StatementKind;
 import org.chivevale.database.Statement;
 import org.chivevale.process.EventLoop;
@@ -270,8 +269,7 @@
         SessionToken session =
                 token.isEmpty()
                         ? SessionToken.EMPTY
-                        : new SessionTokenCodec(directory.configuration().sessionSecret())
-                                .decode(account, token);
+                        : directory.configuration().sessionTokens().decode(account, token);
         return rates.admit(account, deadline)
                 .compose(
                         ignored ->
@@ -347,7 +345,7 @@
                 .response()
                 .end(
                         AnswerWriter.write(
-                                answer, account, directory.configuration().sessionSecret()));
+                                answer, account, directory.configuration().sessionTokens()));
     }
 
     @Override
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/PoolService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/PoolService.java
@@ -38,7 +38,7 @@
     /** Name in the kernel. */
     public static final String NAME = "pools";
 
-    private static final long TICK_MILLIS = 5;
+    private static final long TICK_MILLIS = 20;
     private static final long PROBE_TICK_MILLIS = 250;
     private static final long SHARE_WANTED_EVERY_NANOS = 100_000_000;
     private static final String LOGIN_ROLE = "chivevale";
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
@@ -36,14 +36,17 @@
     public static final String NAME = "rate-gate";
 
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long TICK_MILLIS = 2;
+    private static final long WAITING_TICK_MILLIS = 2;
+    private static final long RETURN_TICK_MILLIS = 100;
     private static final long LOOKAHEAD_NANOS = 100 * NANOS_PER_MILLI;
     private static final long RETURN_EVERY_NANOS = 100 * NANOS_PER_MILLI;
     private static final int MAX_WAITING = 1000;
 
     private final ProxySettings settings;
     private final Map<ClientAccountId, Gate> gates = new HashMap<>();
+    private EventLoop loop;
     private ControlLink link;
+    private boolean ticking;
     private Counter asked;
     private Counter refused;
     private long returnedNanos;
@@ -73,13 +76,34 @@
 
     @Override
     public void start(Kernel kernel) {
-        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        loop = kernel.find(EventLoop.NAME, EventLoop.class);
         link = kernel.find(ControlLink.NAME, ControlLink.class);
         MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
         asked = registry.counter("chivevale.proxy.rate.requests");
         refused = registry.counter("chivevale.proxy.rate.refused");
         returnedNanos = EventLoop.nowNanos();
-        loop.every(TICK_MILLIS, this::tick);
+        loop.every(RETURN_TICK_MILLIS, this::ask);
+    }
+
+    /** Looks after waiting requests, as long as there are any. */
+    private void tickWhileWaiting() {
+        if (ticking) {
+            return;
+        }
+        ticking = true;
+        loop.vertx()
+                .setTimer(
+                        WAITING_TICK_MILLIS,
+                        ignored -> {
+                            ticking = false;
+                            tick();
+                            boolean waiting =
+                                    gates.values().stream()
+                                            .anyMatch(gate -> !gate.waiters.isEmpty());
+                            if (waiting) {
+                                tickWhileWaiting();
+                            }
+                        });
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/AnswerWriter.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/AnswerWriter.java
@@ -25,10 +25,11 @@
      *
      * @param answer the answer
      * @param account whose session the token is for, or null
-     * @param sessionSecret authenticates the token
+     * @param tokens writes the token
      * @return the body
      */
-    public static Buffer write(CallerAnswer answer, ClientAccountId account, byte[] sessionSecret) {
+    public static Buffer write(
+            CallerAnswer answer, ClientAccountId account, SessionTokenCodec tokens) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator json = FACTORY.createGenerator(out)) {
             json.writeStartObject();
@@ -45,9 +46,7 @@
                 json.writeNumberField("age_ms", answer.ageMillis());
             }
             if (answer.session() != null && account != null) {
-                json.writeStringField(
-                        "session",
-                        new SessionTokenCodec(sessionSecret).encode(account, answer.session()));
+                json.writeStringField("session", tokens.encode(account, answer.session()));
             }
             if (answer.resultsJson() != null) {
                 json.writeFieldName("results");
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestReader.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestReader.java
@@ -31,9 +31,7 @@
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.request.RequestIds;
 import org.chivevale.core.session.SessionToken;
-import org.chivevale.core.session.SessionTokenCodec;
 import org.chivevale.core.statement.StatementKind;
-import org.chivevale.core.statement.StatementPolicy;
 import org.chivevale.database.RequestRecord;
 import org.chivevale.database.Statement;
 import org.chivevale.proxy.ProxySettings;
@@ -286,7 +284,7 @@
     private static StatementKind kind(List<Statement> statements, String mode) {
         StatementKind strongest = StatementKind.READ;
         for (Statement statement : statements) {
-            StatementKind kind = StatementPolicy.classify(statement.sql());
+            StatementKind kind = StatementKinds.of(statement.sql());
             if (kind == StatementKind.SCHEMA && statements.size() > 1) {
                 throw new ChivevaleException(
                         ResultCode.STATEMENT_FORBIDDEN,
@@ -314,7 +312,7 @@
         if (text.isEmpty()) {
             return null;
         }
-        return new SessionTokenCodec(configuration.sessionSecret()).decode(account, text);
+        return configuration.sessionTokens().decode(account, text);
     }
 
     private static RequestRecord record(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
@@ -40,7 +40,7 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 100;
 
     private final ProxySettings settings;
     private final Directory directory;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/TransactionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/TransactionService.java
@@ -45,7 +45,7 @@
     public static final String NAME = "transactions";
 
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 100;
     private static final int ID_BYTES = 16;
 
     private final ProxySettings settings;
--- a/org.chivevale.system.test/src/test/java/org/chivevale/ctl/CtlTextTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/ctl/CtlTextTest.java
@@ -1,5 +1,7 @@
 package org.chivevale.ctl;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,6 +14,38 @@
         return new ObjectMapper().readTree(text.replace('\'', '"'));
     }
 
+    @Test
+    void everyCommandCanBeMadeAndWrongUsageHasItsOwnExitCode() {
+        assertEquals(0, CtlMain.run("help"));
+        assertEquals(0, CtlMain.run("new-key"));
+        assertEquals(2, CtlMain.run("account", "create"));
+        assertEquals(2, CtlMain.run("no-such-command"));
+        for (String[] command :
+                new String[][] {
+                    {"status"},
+                    {"configuration"},
+                    {"history"},
+                    {"report"},
+                    {"plan", "/nowhere"},
+                    {"confirm", "/nowhere"},
+                    {"account", "create", "a"},
+                    {"account", "set", "a"},
+                    {"account", "remove", "a"},
+                    {"rate", "set", "a"},
+                    {"key", "create", "a"},
+                    {"key", "withdraw", "a"},
+                    {"database", "create", "a", "--slots", "1"},
+                    {"database", "set", "a"},
+                    {"database", "replace-credential", "a"},
+                    {"group", "hand-over", "a.0"},
+                    {"group", "promote-with-loss", "a.0"},
+                    {"route", "close", "a"},
+                    {"operator", "create", "a"}
+                }) {
+            assertEquals(1, CtlMain.run(command), String.join(" ", command));
+        }
+    }
+
     @Test
     void aPlanSaysWhatChangesAndShowsANewSecretOnce() throws JsonProcessingException {
         JsonNode plan =
