--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/AgreedLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/AgreedLog.java
@@ -1,6 +1,8 @@
 package org.chivevale.consensus;
 
+import java.util.List;
 import java.util.function.Consumer;
+import org.chivevale.wire.proto.RaftMessage;
 
 /**
  * A log on which the control processes agree.
@@ -43,6 +45,28 @@
      */
     String leader();
 
+    /**
+     * Lists where the processes listen that may lead.
+     *
+     * @return the leader first, where it is known
+     */
+    default List<String> members() {
+        return List.of();
+    }
+
+    /** Acts on the passage of time. */
+    default void tick() {}
+
+    /**
+     * Handles a message of another member.
+     *
+     * @param message what came
+     */
+    default void receive(RaftMessage message) {}
+
+    /** Gives up the lead before the process stops. */
+    default void handOver() {}
+
     /** Stops; nothing is applied afterwards. */
     void close();
 }
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Election.java
@@ -0,0 +1,122 @@
+package org.chivevale.consensus.raft;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.chivevale.consensus.raft.RaftNode.Role;
+import org.chivevale.wire.proto.RaftMessage;
+import org.chivevale.wire.proto.VoteAnswer;
+import org.chivevale.wire.proto.VoteRequest;
+
+/**
+ * Rounds of votes of one member, pre-votes first.
+ *
+ * <p>Invariants: a vote is synced before it is told; nobody is voted for whose log is behind; while
+ * a leader may hold its lease, only an election that it agreed to is answered. Not thread safe.
+ */
+final class Election {
+    private final RaftNode node;
+    private final Set<String> votes = new HashSet<>();
+    private boolean leaderAgrees;
+
+    Election(RaftNode node) {
+        this.node = node;
+    }
+
+    void begin(boolean preVote, boolean agreed) {
+        node.scheduleElection();
+        leaderAgrees = agreed;
+        votes.clear();
+        votes.add(node.self());
+        node.stand(preVote);
+        VoteRequest.Builder request =
+                VoteRequest.newBuilder()
+                        .setPreVote(preVote)
+                        .setLeaderAgrees(agreed)
+                        .setLastIndex(node.log().lastIndex())
+                        .setLastTerm(node.log().lastTerm());
+        long term = preVote ? node.currentTerm() + 1 : node.currentTerm();
+        for (String voter : node.log().participants().getVotersList()) {
+            if (!voter.equals(node.self())) {
+                node.send(voter, node.message().setTerm(term).setVoteRequest(request));
+            }
+        }
+        count();
+    }
+
+    void requested(RaftMessage message) {
+        VoteRequest request = message.getVoteRequest();
+        if (!request.getLeaderAgrees() && node.boundToLeader()) {
+            return;
+        }
+        boolean current = current(request);
+        if (request.getPreVote()) {
+            answer(message, current && message.getTerm() > node.currentTerm());
+            return;
+        }
+        if (message.getTerm() > node.currentTerm()) {
+            node.saveTerm(message.getTerm(), "");
+            node.stepDown("election of term " + message.getTerm());
+        }
+        boolean granted = current && message.getTerm() == node.currentTerm() && vote(message);
+        answer(message, granted);
+    }
+
+    private boolean current(VoteRequest request) {
+        long lastTerm = node.log().lastTerm();
+        return request.getLastTerm() > lastTerm
+                || request.getLastTerm() == lastTerm
+                        && request.getLastIndex() >= node.log().lastIndex();
+    }
+
+    private boolean vote(RaftMessage message) {
+        String voted = node.votedFor();
+        if (voted.isEmpty()) {
+            node.saveTerm(node.currentTerm(), message.getFrom());
+            node.scheduleElection();
+            return true;
+        }
+        return voted.equals(message.getFrom());
+    }
+
+    private void answer(RaftMessage request, boolean granted) {
+        boolean preVote = request.getVoteRequest().getPreVote();
+        node.send(
+                request.getFrom(),
+                node.message()
+                        .setTerm(preVote && granted ? request.getTerm() : node.currentTerm())
+                        .setVoteAnswer(
+                                VoteAnswer.newBuilder().setPreVote(preVote).setGranted(granted)));
+    }
+
+    void answered(RaftMessage message) {
+        VoteAnswer answer = message.getVoteAnswer();
+        if (!answer.getGranted() && message.getTerm() > node.currentTerm()) {
+            node.saveTerm(message.getTerm(), "");
+            node.stepDown("term " + message.getTerm() + " has begun");
+            return;
+        }
+        boolean mine =
+                answer.getPreVote()
+                        ? node.role() == Role.PRE_CANDIDATE
+                                && message.getTerm() == node.currentTerm() + 1
+                        : node.role() == Role.CANDIDATE && message.getTerm() == node.currentTerm();
+        if (mine && answer.getGranted()) {
+            votes.add(message.getFrom());
+            count();
+        }
+    }
+
+    private void count() {
+        List<String> voters = node.log().participants().getVotersList();
+        long granted = voters.stream().filter(votes::contains).count();
+        if (granted * 2 <= voters.size()) {
+            return;
+        }
+        if (node.role() == Role.PRE_CANDIDATE) {
+            begin(false, leaderAgrees);
+        } else if (node.role() == Role.CANDIDATE) {
+            node.lead();
+        }
+    }
+}
--- /dev/null
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
@@ -0,0 +1,150 @@
+package org.chivevale.consensus.raft;
+
+import java.util.List;
+import org.chivevale.consensus.store.LogStore;
+import org.chivevale.wire.proto.Participants;
+import org.chivevale.wire.proto.StoredEntry;
+import org.chivevale.wire.proto.StoredSnapshot;
+
+/**
+ * The entries of one member and who takes part according to them.
+ *
+ * <p>Invariant: the newest entry that names participants counts, whether it is agreed or not. Not
+ * thread safe.
+ */
+final class RaftLog {
+    private static final long NO_TERM = -1;
+    private static final int BATCH_BYTES = 512 * 1024;
+
+    private final LogStore store;
+    private Participants participants;
+    private long participantsIndex;
+
+    RaftLog(LogStore store) {
+        this.store = store;
+        findParticipants();
+    }
+
+    private void findParticipants() {
+        StoredSnapshot snapshot = store.snapshot();
+        participants =
+                snapshot == null ? Participants.getDefaultInstance() : snapshot.getParticipants();
+        participantsIndex = snapshotIndex();
+        for (StoredEntry entry : store.entries()) {
+            noteParticipants(entry);
+        }
+    }
+
+    private void noteParticipants(StoredEntry entry) {
+        if (entry.hasParticipants()) {
+            participants = entry.getParticipants();
+            participantsIndex = entry.getIndex();
+        }
+    }
+
+    Participants participants() {
+        return participants;
+    }
+
+    /** Index of the entry that names the participants. */
+    long participantsIndex() {
+        return participantsIndex;
+    }
+
+    /** The participants as of an index that is not above the last one. */
+    Participants participantsAt(long index) {
+        StoredSnapshot snapshot = store.snapshot();
+        Participants found =
+                snapshot == null ? Participants.getDefaultInstance() : snapshot.getParticipants();
+        for (StoredEntry entry : store.entries()) {
+            if (entry.getIndex() <= index && entry.hasParticipants()) {
+                found = entry.getParticipants();
+            }
+        }
+        return found;
+    }
+
+    long snapshotIndex() {
+        return store.snapshot() == null ? 0 : store.snapshot().getIndex();
+    }
+
+    private long snapshotTerm() {
+        return store.snapshot() == null ? 0 : store.snapshot().getTerm();
+    }
+
+    StoredSnapshot snapshot() {
+        return store.snapshot();
+    }
+
+    long lastIndex() {
+        List<StoredEntry> entries = store.entries();
+        return entries.isEmpty() ? snapshotIndex() : entries.get(entries.size() - 1).getIndex();
+    }
+
+    long lastTerm() {
+        return term(lastIndex());
+    }
+
+    /** Term of the entry at an index; {@link #NO_TERM} when it is unknown here. */
+    long term(long index) {
+        if (index == snapshotIndex()) {
+            return snapshotTerm();
+        }
+        StoredEntry entry = entry(index);
+        return entry == null ? NO_TERM : entry.getTerm();
+    }
+
+    StoredEntry entry(long index) {
+        List<StoredEntry> entries = store.entries();
+        long offset = index - snapshotIndex() - 1;
+        return offset < 0 || offset >= entries.size() ? null : entries.get((int) offset);
+    }
+
+    boolean agrees(long index, long term) {
+        return index < snapshotIndex() || term(index) == term;
+    }
+
+    int entriesKept() {
+        return store.entries().size();
+    }
+
+    /** Entries from an index on, as many as fit into one message. */
+    List<StoredEntry> from(long index) {
+        List<StoredEntry> entries = store.entries();
+        int first = (int) Math.max(0, index - snapshotIndex() - 1);
+        int end = first;
+        int bytes = 0;
+        while (end < entries.size() && bytes < BATCH_BYTES) {
+            bytes += entries.get(end).getSerializedSize();
+            end++;
+        }
+        return entries.subList(Math.min(first, end), end);
+    }
+
+    void append(List<StoredEntry> added) {
+        boolean cutsParticipants = !added.isEmpty() && added.get(0).getIndex() <= participantsIndex;
+        store.append(added);
+        if (cutsParticipants) {
+            findParticipants();
+        } else {
+            added.forEach(this::noteParticipants);
+        }
+    }
+
+    /** Writes a snapshot of what this member has applied. */
+    void compact(long index, byte[] state) {
+        store.saveSnapshot(
+                StoredSnapshot.newBuilder()
+                        .setIndex(index)
+                        .setTerm(term(index))
+                        .setParticipants(participantsAt(index))
+                        .setState(com.google.protobuf.ByteString.copyFrom(state))
+                        .build());
+    }
+
+    /** Takes a snapshot of the leader in place of everything up to its index. */
+    void install(StoredSnapshot snapshot) {
+        store.saveSnapshot(snapshot);
+        findParticipants();
+    }
+}
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
@@ -11,6 +11,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.UUID;
 import org.chivevale.core.errors.ChivevaleException;
@@ -97,6 +98,7 @@
         for (byte[] record : records) {
             load(record);
         }
+        entries.removeIf(entry -> entry.getTerm() < snapshotTerm());
         if (hardState.getStoreId().isEmpty()) {
             saveHardState(hardState.toBuilder().setStoreId(UUID.randomUUID().toString()).build());
             syncFolder();
@@ -152,6 +154,11 @@
         }
     }
 
+    /** Entries of an earlier term stood in a log that a snapshot has replaced. */
+    private long snapshotTerm() {
+        return snapshot == null ? 0 : snapshot.getTerm();
+    }
+
     private long snapshotIndex() {
         return snapshot == null ? 0 : snapshot.getIndex();
     }
@@ -162,7 +169,7 @@
      * @return in the order of their index
      */
     public List<StoredEntry> entries() {
-        return List.copyOf(entries);
+        return Collections.unmodifiableList(entries);
     }
 
     /**
@@ -196,6 +203,17 @@
         added.forEach(this::keep);
     }
 
+    /**
+     * Takes the identity that the first folders of a deployment share.
+     *
+     * @param storeId the identity
+     */
+    public void adoptIdentity(String storeId) {
+        HardState adopted = hardState.toBuilder().setStoreId(storeId).build();
+        write(StoredRecord.newBuilder().setHardState(adopted).build());
+        hardState = adopted;
+    }
+
     private void write(StoredRecord record) {
         file.append(record.toByteArray());
     }
@@ -226,6 +244,7 @@
             ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + body.length);
             bytes.putInt(RecordFile.crc(body)).put(body).flip();
             replace(SNAPSHOT, NEW_SNAPSHOT, bytes);
+            dropIfOther(newSnapshot);
             snapshot = newSnapshot;
             compact();
         } catch (IOException e) {
@@ -233,6 +252,19 @@
         }
     }
 
+    /** Drops entries that do not continue a snapshot that another process wrote. */
+    private void dropIfOther(StoredSnapshot newSnapshot) {
+        boolean continues =
+                entries.stream()
+                        .anyMatch(
+                                entry ->
+                                        entry.getIndex() == newSnapshot.getIndex()
+                                                && entry.getTerm() == newSnapshot.getTerm());
+        if (!continues) {
+            entries.clear();
+        }
+    }
+
     private void replace(String name, String newName, ByteBuffer bytes) throws IOException {
         Path fresh = folder.resolve(newName);
         try (FileChannel channel =
--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlMain.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlMain.java
@@ -4,13 +4,12 @@
 import java.nio.file.Path;
 import org.chivevale.control.internal.admin.AdminService;
 import org.chivevale.control.internal.failover.FailoverService;
-import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.intent.IntentService;
-import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.failover.FailoverPolicy;
 import org.chivevale.core.kernel.Kernel;
-import org.chivevale.process.EventLoop;
+import org.chivevale.database.DatabaseConnectors;
+import org.chivevale.database.PostgresConnectorOptions;
 import org.chivevale.process.Main;
-import org.chivevale.process.Metrics;
 
 /**
  * The control process: the agreed configuration, fleet leases, failover.
@@ -19,6 +18,11 @@
  */
 @Command(name = "chivevale-control", description = "Control process of chivevale")
 public final class ControlMain extends Main {
+    private static final String LOGIN_ROLE = "chivevale";
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final long PROMOTION_PATIENCE_MILLIS = 3000;
+    private static final long HAND_OVER_PATIENCE_MILLIS = 1500;
+
     /**
      * Runs until the process is told to stop.
      *
@@ -31,17 +35,13 @@
     @Override
     protected Kernel kernel(Path settingsFile) {
         ControlSettings settings = ControlSettings.read(settingsFile);
-        return new Kernel()
-                .register(EventLoop.NAME, new EventLoop())
-                .register(Metrics.NAME, new Metrics())
-                .register(LogService.NAME, new LogService(settings), EventLoop.NAME)
-                .register(
-                        FleetService.NAME,
-                        new FleetService(settings),
-                        LogService.NAME,
-                        Metrics.NAME)
-                .register(FailoverService.NAME, new FailoverService(settings), FleetService.NAME)
-                .register(IntentService.NAME, new IntentService(), LogService.NAME)
+        PostgresConnectorOptions options =
+                new PostgresConnectorOptions(
+                        LOGIN_ROLE, settings.databasePassword(), CONNECT_TIMEOUT_MILLIS);
+        return ControlKernel.create(
+                        settings,
+                        loop -> DatabaseConnectors.postgres(loop.vertx(), options),
+                        new FailoverPolicy(PROMOTION_PATIENCE_MILLIS, HAND_OVER_PATIENCE_MILLIS))
                 .register(
                         AdminService.NAME,
                         new AdminService(settings),
--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
@@ -1,6 +1,7 @@
 package org.chivevale.control;
 
 import java.nio.file.Path;
+import java.util.List;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.core.settings.Settings;
 
@@ -21,6 +22,7 @@
  * @param clockDriftPartsPerMillion how far two VMs' clocks may drift apart
  * @param connectionFloor connections that each proxy gets to each instance
  * @param snapshotEvery log entries between two snapshots
+ * @param replication how several processes agree; null for a deployment with one
  */
 public record ControlSettings(
         String id,
@@ -34,11 +36,28 @@
         int leaseMillis,
         int clockDriftPartsPerMillion,
         int connectionFloor,
-        int snapshotEvery) {
+        int snapshotEvery,
+        Replication replication) {
+    /**
+     * How several control processes agree.
+     *
+     * @param first true when the deployment starts for the first time, with empty folders
+     * @param seeds where other control processes take messages of the log
+     * @param voters how many processes should vote
+     */
+    public record Replication(boolean first, List<HostPort> seeds, int voters) {
+        public Replication {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
     private static final int DEFAULT_LEASE_MILLIS = 2500;
     private static final int DEFAULT_DRIFT = 1000;
     private static final int DEFAULT_FLOOR = 1;
     private static final int DEFAULT_SNAPSHOT_EVERY = 1000;
+    private static final int MAX_PORT = 65_535;
+    private static final int DEFAULT_VOTERS = 5;
+    private static final int MAX_VOTERS = 9;
     private static final int MAX_LEASE_MILLIS = 30_000;
     private static final int MAX_DRIFT = 100_000;
 
@@ -50,21 +69,43 @@
      */
     public static ControlSettings read(Path path) {
         Settings in = Settings.read(path);
-        ControlSettings settings =
-                new ControlSettings(
-                        in.text("id", "a name"),
-                        in.text("region", "a name"),
-                        in.text("data_center", "a name"),
-                        in.address("admin_listen"),
-                        in.address("wire_listen"),
-                        Path.of(in.text("data_folder", "a folder")),
-                        in.text("operator_key", "a key made by 'chivevalectl new-key'"),
-                        in.text("database_password", "a text"),
-                        in.number("lease_ms", DEFAULT_LEASE_MILLIS, 200, MAX_LEASE_MILLIS),
-                        in.number("clock_drift_ppm", DEFAULT_DRIFT, 0, MAX_DRIFT),
-                        in.number("connection_floor", DEFAULT_FLOOR, 0, 1000),
-                        in.number("snapshot_every", DEFAULT_SNAPSHOT_EVERY, 1, 1_000_000));
+        ControlSettings settings = read(in);
         in.check();
         return settings;
     }
+
+    /**
+     * Reads the settings of a control process from a file that may hold more.
+     *
+     * @param in the file; the caller checks it when everything is read
+     * @return the settings
+     */
+    public static ControlSettings read(Settings in) {
+        boolean operatorApi = in.flag("operator_api", true);
+        return new ControlSettings(
+                in.text("id", "a name"),
+                in.text("region", "a name"),
+                in.text("data_center", "a name"),
+                in.address("admin_listen"),
+                in.address("wire_listen"),
+                Path.of(in.text("data_folder", "a folder")),
+                operatorApi ? in.text("operator_key", "a key made by 'chivevalectl new-key'") : "",
+                operatorApi ? in.text("database_password", "a text") : "",
+                in.number("lease_ms", DEFAULT_LEASE_MILLIS, 200, MAX_LEASE_MILLIS),
+                in.number("clock_drift_ppm", DEFAULT_DRIFT, 0, MAX_DRIFT),
+                in.number("connection_floor", DEFAULT_FLOOR, 0, 1000),
+                in.number("snapshot_every", DEFAULT_SNAPSHOT_EVERY, 1, 1_000_000),
+                replication(in));
+    }
+
+    private static Replication replication(Settings in) {
+        int port = in.number("replication.port", 0, 0, MAX_PORT);
+        List<HostPort> seeds =
+                in.addresses("replication.seeds").stream()
+                        .map(seed -> port == 0 ? seed : new HostPort(seed.host(), port))
+                        .toList();
+        boolean first = in.flag("replication.first", false);
+        int voters = in.number("replication.voters", DEFAULT_VOTERS, 1, MAX_VOTERS);
+        return seeds.isEmpty() ? null : new Replication(first, seeds, voters);
+    }
 }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/AnnouncementReader.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/AnnouncementReader.java
@@ -68,7 +68,8 @@
                 number(group, "timeline", 1, Integer.MAX_VALUE),
                 upstream,
                 number(group, "connection_limit", 1, MAX_CONNECTIONS),
-                body.path("leaving").asBoolean());
+                body.path("leaving").asBoolean(),
+                false);
     }
 
     private void requireCredential(GroupId group, String credential) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
-import org.chivevale.control.ControlSettings;
+import org.chivevale.control.MemberConnectors;
 import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.config.Configuration;
@@ -11,8 +11,6 @@
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
-import org.chivevale.database.DatabaseConnectors;
-import org.chivevale.database.PostgresConnectorOptions;
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
 
@@ -26,15 +24,11 @@
     public static final String NAME = "failover";
 
     private static final long TICK_MILLIS = 20;
-    private static final long PROMOTION_PATIENCE_MILLIS = 3000;
-    private static final long HAND_OVER_PATIENCE_MILLIS = 1500;
-    private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-    private final ControlSettings settings;
+    private final MemberConnectors connectors;
     private final Map<String, GroupWorker> workers = new TreeMap<>();
     private final Map<String, GroupKeeper> keepers = new TreeMap<>();
-    private final FailoverPolicy policy =
-            new FailoverPolicy(PROMOTION_PATIENCE_MILLIS, HAND_OVER_PATIENCE_MILLIS);
+    private final FailoverPolicy policy;
     private LogService log;
     private FleetService fleet;
     private MemberCaller members;
@@ -43,10 +37,12 @@
     /**
      * Creates the service.
      *
-     * @param settings the process's settings
+     * @param connectors opens connections to members
+     * @param policy decides each step
      */
-    public FailoverService(ControlSettings settings) {
-        this.settings = settings;
+    public FailoverService(MemberConnectors connectors, FailoverPolicy policy) {
+        this.connectors = connectors;
+        this.policy = policy;
     }
 
     @Override
@@ -55,10 +51,7 @@
         log = kernel.find(LogService.NAME, LogService.class);
         fleet = kernel.find(FleetService.NAME, FleetService.class);
         times = new FailoverTimes(kernel.find(Metrics.NAME, Metrics.class).registry());
-        PostgresConnectorOptions options =
-                new PostgresConnectorOptions(
-                        "chivevale", settings.databasePassword(), CONNECT_TIMEOUT_MILLIS);
-        members = new MemberCaller(DatabaseConnectors.postgres(loop.vertx(), options));
+        members = new MemberCaller(connectors.create(loop));
         loop.every(TICK_MILLIS, this::tick);
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupKeeper.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupKeeper.java
@@ -15,6 +15,8 @@
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.request.RequestIds;
+import org.chivevale.database.MemberConnection;
+import org.chivevale.database.MemberTarget;
 import org.chivevale.process.EventLoop;
 import org.jboss.logging.Logger;
 
@@ -36,7 +38,7 @@
     private final LogService log;
     private final FleetService fleet;
     private final MemberCaller members;
-    private final Map<String, Long> followTriedNanos = new HashMap<>();
+    private final Map<String, Long> triedNanos = new HashMap<>();
     private final Set<ClientAccountId> provisioned = new HashSet<>();
     private long provisionedTerm;
     private boolean proposing;
@@ -66,11 +68,45 @@
 
     private void findFirstPrimary() {
         for (InstanceAnnouncement instance : fleet.membership().instances(group)) {
-            if (instance.primary()) {
-                publish(instance);
-                return;
+            if (!instance.primary()) {
+                continue;
             }
+            if (instance.followsByItself()) {
+                askTerm(instance);
+            } else {
+                publish(instance, instance.timeline());
+            }
+            return;
+        }
+    }
+
+    /** The announcements of some databases do not name the term; the member itself does. */
+    private void askTerm(InstanceAnnouncement instance) {
+        if (tooSoon(instance)) {
+            return;
+        }
+        members.call(instance.target(), MemberConnection::memberStatus)
+                .onSuccess(
+                        status -> {
+                            if (status.primary()) {
+                                publish(instance, status.timeline());
+                            }
+                        })
+                .onFailure(
+                        failure ->
+                                LOG.warnf(
+                                        "group %s: %s does not tell its term: %s",
+                                        group, instance.endpoint(), failure));
+    }
+
+    private boolean tooSoon(InstanceAnnouncement instance) {
+        long now = EventLoop.nowNanos();
+        Long tried = triedNanos.put(instance.endpoint().value(), now);
+        boolean soon = tried != null && (now - tried) / NANOS_PER_MILLI < RETRY_MILLIS;
+        if (soon) {
+            triedNanos.put(instance.endpoint().value(), tried);
         }
+        return soon;
     }
 
     private void followMovedAddress(Group state) {
@@ -78,14 +114,14 @@
         boolean moved =
                 announced != null
                         && announced.primary()
-                        && announced.timeline() == state.term()
+                        && (announced.followsByItself() || announced.timeline() == state.term())
                         && !announced.address().equals(state.address());
         if (moved) {
-            publish(announced);
+            publish(announced, state.term());
         }
     }
 
-    private void publish(InstanceAnnouncement instance) {
+    private void publish(InstanceAnnouncement instance, long term) {
         if (proposing) {
             return;
         }
@@ -105,32 +141,32 @@
                                                     group.toString(),
                                                     instance.endpoint(),
                                                     instance.address(),
-                                                    instance.timeline(),
+                                                    term,
                                                     0));
                         })
                 .onComplete(ended -> proposing = false);
     }
 
     private void follow(Group state, InstanceAnnouncement instance) {
-        long now = EventLoop.nowNanos();
+        boolean isPrimary = instance.endpoint().equals(state.primary());
         boolean right =
-                instance.endpoint().equals(state.primary())
+                isPrimary
                         || !instance.primary()
-                                && instance.upstream().equals(state.address().toString());
-        if (right || !fleet.membership().fresh(instance, now)) {
+                                && (instance.followsByItself()
+                                        || instance.upstream().equals(state.address().toString()));
+        if (right || !fleet.membership().fresh(instance, EventLoop.nowNanos())) {
             return;
         }
-        String key = instance.endpoint().value();
-        Long tried = followTriedNanos.get(key);
-        if (tried != null && (now - tried) / NANOS_PER_MILLI < RETRY_MILLIS) {
+        if (tooSoon(instance)) {
             return;
         }
-        followTriedNanos.put(key, now);
         members.call(
-                        instance.address(),
-                        group,
+                        instance.target(),
                         connection ->
-                                connection.follow(state.address().host(), state.address().port()))
+                                instance.followsByItself()
+                                        ? connection.stepDown(state.term())
+                                        : connection.follow(
+                                                state.address().host(), state.address().port()))
                 .onFailure(
                         failure ->
                                 LOG.debugf(
@@ -138,6 +174,10 @@
                                         group, instance.endpoint(), failure));
     }
 
+    private MemberTarget primary(Group state) {
+        return new MemberTarget(state.primary(), group, state.address());
+    }
+
     private void provision(Configuration configuration, Group state) {
         if (provisionedTerm != state.term()) {
             provisionedTerm = state.term();
@@ -152,8 +192,7 @@
         provisioning = true;
         provisionTriedNanos = now;
         members.call(
-                        state.address(),
-                        group,
+                        primary(state),
                         PROVISION_TIMEOUT_MILLIS,
                         connection -> connection.provision(missing))
                 .onComplete(
@@ -189,8 +228,7 @@
         }
         long before = System.currentTimeMillis() - 2 * RequestIds.WINDOW_MILLIS;
         members.call(
-                state.address(),
-                group,
+                primary(state),
                 PROVISION_TIMEOUT_MILLIS,
                 connection -> connection.purgeRequests(before, PURGE_AT_MOST));
     }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupWorker.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupWorker.java
@@ -18,8 +18,9 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.settings.HostPort;
-import org.chivevale.database.DatabaseConnection;
+import org.chivevale.database.MemberConnection;
 import org.chivevale.database.MemberStatus;
+import org.chivevale.database.PromotionOrder;
 import org.chivevale.process.EventLoop;
 import org.chivevale.wire.proto.FailoverStep;
 import org.jboss.logging.Logger;
@@ -35,6 +36,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long COLLECT_AGAIN_MILLIS = 60;
     private static final long PROMOTE_TIMEOUT_MILLIS = 2000;
+    private static final long REST_MILLIS = 1500;
     private static final String OPERATOR = "failover";
 
     private final GroupId group;
@@ -52,6 +54,7 @@
     private MemberPosition promotion;
     private long promotingSinceNanos;
     private boolean promoting;
+    private long reinstatedNanos = EventLoop.nowNanos() - REST_MILLIS * NANOS_PER_MILLI;
     private boolean proposing;
     private String blockedReason = "";
 
@@ -112,7 +115,8 @@
         EndpointId primary = state.primary();
         InstanceAnnouncement announced =
                 primary == null ? null : fleet.membership().instance(primary, group);
-        boolean watching = phase == null && primary != null;
+        boolean watching =
+                phase == null && primary != null && millisSince(reinstatedNanos, now) > REST_MILLIS;
         return new FailoverView(
                 phase,
                 state.term(),
@@ -125,6 +129,7 @@
                 watching && announced != null && announced.leaving(),
                 phase != null && fleet.leases().inForce(fenceVersion, now),
                 database == null ? 1 : database.answersForPromotion(),
+                fleet.membership().instances(group).size(),
                 positions,
                 collectingSinceNanos == 0 ? 0 : millisSince(collectingSinceNanos, now),
                 promotion,
@@ -154,6 +159,7 @@
         } else if (action instanceof FailoverAction.Reinstate reinstate) {
             HostPort address = address(reinstate.primary());
             if (address != null) {
+                reinstatedNanos = EventLoop.nowNanos();
                 propose(now -> FailoverChanges.reinstate(now, step, reinstate.primary(), address));
             }
         } else if (action instanceof FailoverAction.Promote promote) {
@@ -213,14 +219,14 @@
     private void ask(InstanceAnnouncement instance, long term, boolean planned, Runnable ended) {
         FailoverPhase asked = lastPhase;
         members.call(
-                        instance.address(),
-                        group,
+                        instance.target(),
                         connection ->
                                 connection
                                         .memberStatus()
                                         .compose(
                                                 status ->
-                                                        cutIfReplica(connection, status, planned)))
+                                                        cutIfReplica(
+                                                                connection, status, planned, term)))
                 .onComplete(
                         answer -> {
                             ended.run();
@@ -231,16 +237,17 @@
     }
 
     private static Future<MemberStatus> cutIfReplica(
-            DatabaseConnection connection, MemberStatus status, boolean planned) {
+            MemberConnection connection, MemberStatus status, boolean planned, long term) {
         if (status.primary() || planned) {
             return Future.succeededFuture(status);
         }
-        return connection.cutOff().compose(ignored -> connection.memberStatus());
+        return connection.cutOff(term).compose(ignored -> connection.memberStatus());
     }
 
     private void note(InstanceAnnouncement instance, long term, MemberStatus status) {
-        boolean foreign = !status.primary() && instance.timeline() > term;
-        long timeline = status.primary() ? status.timeline() : instance.timeline();
+        boolean ownTimeline = status.primary() || instance.followsByItself();
+        long timeline = ownTimeline ? status.timeline() : instance.timeline();
+        boolean foreign = !status.primary() && timeline > term;
         if (foreign) {
             LOG.debugf("group %s: %s is in timeline %d", group, instance.endpoint(), timeline);
         }
@@ -251,12 +258,17 @@
     }
 
     private void promote(EndpointId candidate) {
-        HostPort address = address(candidate);
-        if (promoting || address == null) {
+        InstanceAnnouncement instance = fleet.membership().instance(candidate, group);
+        if (promoting || instance == null) {
             return;
         }
         promoting = true;
-        members.call(address, group, PROMOTE_TIMEOUT_MILLIS, DatabaseConnection::promote)
+        PromotionOrder order =
+                new PromotionOrder(log.processId(), log.state().term(), log::leading);
+        members.call(
+                        instance.target(),
+                        PROMOTE_TIMEOUT_MILLIS,
+                        connection -> connection.promote(order))
                 .onComplete(
                         answer -> {
                             promoting = false;
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/MemberCaller.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/MemberCaller.java
@@ -3,10 +3,9 @@
 import io.vertx.core.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.chivevale.core.group.GroupId;
-import org.chivevale.core.settings.HostPort;
-import org.chivevale.database.DatabaseConnection;
-import org.chivevale.database.DatabaseConnector;
+import org.chivevale.database.MemberConnection;
+import org.chivevale.database.MemberConnector;
+import org.chivevale.database.MemberTarget;
 
 /**
  * Calls members of groups, each call on a connection of its own.
@@ -17,24 +16,20 @@
 final class MemberCaller {
     private static final long CALL_TIMEOUT_MILLIS = 800;
 
-    private final DatabaseConnector connector;
+    private final MemberConnector connector;
 
-    MemberCaller(DatabaseConnector connector) {
+    MemberCaller(MemberConnector connector) {
         this.connector = connector;
     }
 
-    <T> Future<T> call(
-            HostPort address, GroupId group, Function<DatabaseConnection, Future<T>> action) {
-        return call(address, group, CALL_TIMEOUT_MILLIS, action);
+    <T> Future<T> call(MemberTarget target, Function<MemberConnection, Future<T>> action) {
+        return call(target, CALL_TIMEOUT_MILLIS, action);
     }
 
     <T> Future<T> call(
-            HostPort address,
-            GroupId group,
-            long timeoutMillis,
-            Function<DatabaseConnection, Future<T>> action) {
+            MemberTarget target, long timeoutMillis, Function<MemberConnection, Future<T>> action) {
         return connector
-                .connect(address.host(), address.port(), group, () -> {})
+                .connect(target)
                 .compose(
                         connection ->
                                 action.apply(connection)
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
@@ -0,0 +1,217 @@
+package org.chivevale.control.internal.fleet;
+
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.config.Configuration;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.process.EventLoop;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.EndpointPut;
+import org.chivevale.wire.proto.EndpointRemoved;
+import org.jboss.logging.Logger;
+
+/**
+ * Takes announcements of endpoints that are known by incarnation and sequence.
+ *
+ * <p>Invariants: an announcement that is older than one already taken changes nothing; of two
+ * endpoints at one address the one that started later counts; what changes is in the log before it
+ * is acknowledged, so that a new leader knows it. Used on the event loop.
+ */
+public final class EndpointRegistry {
+    private static final Logger LOG = Logger.getLogger(EndpointRegistry.class);
+    private static final String OPERATOR = "announcement";
+    private static final long LIFE_NANOS = 4_000_000_000L;
+
+    private final LogService log;
+    private final FleetService fleet;
+    private final Map<String, Seen> seen = new HashMap<>();
+
+    private record Seen(long incarnation, long sequence) {
+        boolean after(long otherIncarnation, long otherSequence) {
+            return incarnation > otherIncarnation
+                    || incarnation == otherIncarnation && sequence >= otherSequence;
+        }
+    }
+
+    /**
+     * Creates the registry.
+     *
+     * @param log where changes are agreed
+     * @param fleet holds who is alive
+     */
+    public EndpointRegistry(LogService log, FleetService fleet) {
+        this.log = log;
+        this.fleet = fleet;
+    }
+
+    /**
+     * Takes an announcement.
+     *
+     * @param announced what the endpoint says of itself
+     * @param sequence grows with each announcement of an incarnation
+     * @return completes once what it changes is agreed
+     */
+    public Future<Void> announce(InstanceAnnouncement announced, long sequence) {
+        Configuration now = log.state().configuration();
+        EndpointPut known = now.endpoint(announced.group(), announced.endpoint());
+        if (outdated(announced, sequence, known) || successor(now, announced) != null) {
+            LOG.infof(
+                    "announcement of %s passed over: incarnation %d, sequence %d",
+                    announced.endpoint(), announced.incarnation(), sequence);
+            return Future.succeededFuture();
+        }
+        seen.put(announced.endpoint().value(), new Seen(announced.incarnation(), sequence));
+        EndpointPut wanted = put(announced);
+        if (wanted.equals(known)) {
+            alive(announced);
+            return Future.succeededFuture();
+        }
+        return log.propose(OPERATOR, "", current -> changes(current, announced, wanted))
+                .onSuccess(version -> agreed(announced, version))
+                .mapEmpty();
+    }
+
+    private boolean outdated(InstanceAnnouncement announced, long sequence, EndpointPut known) {
+        Seen last = seen.get(announced.endpoint().value());
+        boolean late = last != null && last.after(announced.incarnation(), sequence);
+        return late || known != null && known.getIncarnation() > announced.incarnation();
+    }
+
+    /** Finds an endpoint that started later at the same address. */
+    private static EndpointPut successor(Configuration now, InstanceAnnouncement announced) {
+        for (EndpointPut other : now.endpoints()) {
+            boolean later =
+                    sameAddress(other, announced)
+                            && other.getIncarnation() > announced.incarnation();
+            if (later) {
+                return other;
+            }
+        }
+        return null;
+    }
+
+    private static boolean sameAddress(EndpointPut other, InstanceAnnouncement announced) {
+        return !other.getEndpointId().equals(announced.endpoint().value())
+                && other.getHost().equals(announced.address().host())
+                && other.getPort() == announced.address().port();
+    }
+
+    private static List<Change> changes(
+            Configuration now, InstanceAnnouncement announced, EndpointPut wanted) {
+        boolean known = now.database(announced.group().database()) != null;
+        if (!known || wanted.equals(now.endpoint(announced.group(), announced.endpoint()))) {
+            return List.of();
+        }
+        List<Change> changes = new ArrayList<>();
+        for (EndpointPut other : now.endpoints()) {
+            if (sameAddress(other, announced)) {
+                changes.add(removal(other.getEndpointId(), other.getGroupId()));
+            }
+        }
+        changes.add(Change.newBuilder().setEndpointPut(wanted).build());
+        return changes;
+    }
+
+    private static Change removal(String endpointId, String groupId) {
+        return Change.newBuilder()
+                .setEndpointRemoved(
+                        EndpointRemoved.newBuilder().setEndpointId(endpointId).setGroupId(groupId))
+                .build();
+    }
+
+    private void agreed(InstanceAnnouncement announced, long version) {
+        Configuration now = log.state().configuration();
+        if (now.endpoint(announced.group(), announced.endpoint()) == null) {
+            return;
+        }
+        for (InstanceAnnouncement other : fleet.membership().instances(announced.group())) {
+            boolean replaced =
+                    now.endpoint(other.group(), other.endpoint()) == null
+                            && !other.endpoint().equals(now.group(other.group()).primary());
+            if (replaced) {
+                fleet.membership().remove(other.endpoint(), other.group());
+            }
+        }
+        alive(announced);
+        LOG.infof(
+                "endpoint %s of %s at %s: primary %b, leaving %b, incarnation %d, version %d",
+                announced.endpoint(),
+                announced.group(),
+                announced.address(),
+                announced.primary(),
+                announced.leaving(),
+                announced.incarnation(),
+                version);
+    }
+
+    private void alive(InstanceAnnouncement announced) {
+        fleet.membership().announce(announced, EventLoop.nowNanos() + LIFE_NANOS);
+    }
+
+    /**
+     * Takes the end of an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @return completes once it is agreed
+     */
+    public Future<Void> leave(EndpointId endpoint) {
+        return log.propose(OPERATOR, "", now -> removals(now, endpoint))
+                .onSuccess(version -> forget(endpoint))
+                .mapEmpty();
+    }
+
+    private static List<Change> removals(Configuration now, EndpointId endpoint) {
+        return now.endpoints().stream()
+                .filter(put -> put.getEndpointId().equals(endpoint.value()))
+                .map(put -> removal(put.getEndpointId(), put.getGroupId()))
+                .toList();
+    }
+
+    private void forget(EndpointId endpoint) {
+        seen.remove(endpoint.value());
+        for (GroupId group : fleet.membership().instancesByGroup().keySet()) {
+            boolean primary = endpoint.equals(log.state().configuration().group(group).primary());
+            if (!primary) {
+                fleet.membership().remove(endpoint, group);
+            }
+        }
+        LOG.infof("endpoint %s has left", endpoint);
+    }
+
+    private static EndpointPut put(InstanceAnnouncement announced) {
+        return EndpointPut.newBuilder()
+                .setEndpointId(announced.endpoint().value())
+                .setGroupId(announced.group().toString())
+                .setHost(announced.address().host())
+                .setPort(announced.address().port())
+                .setDataCenter(announced.dataCenter())
+                .setRegion(announced.region())
+                .setIncarnation(announced.incarnation())
+                .setPrimary(announced.primary())
+                .setLeaving(announced.leaving())
+                .setConnectionLimit(announced.connectionLimit())
+                .build();
+    }
+
+    static InstanceAnnouncement announcement(EndpointPut put) {
+        return new InstanceAnnouncement(
+                new EndpointId(put.getEndpointId()),
+                GroupId.parse(put.getGroupId()),
+                new HostPort(put.getHost(), put.getPort()),
+                put.getRegion(),
+                put.getDataCenter(),
+                put.getIncarnation(),
+                put.getPrimary(),
+                0,
+                "",
+                put.getConnectionLimit(),
+                put.getLeaving(),
+                true);
+    }
+}
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -32,6 +32,8 @@
 import org.chivevale.wire.proto.ChangePush;
 import org.chivevale.wire.proto.ConnectionDemand;
 import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.DesiredStored;
+import org.chivevale.wire.proto.EndpointPut;
 import org.chivevale.wire.proto.ErrorAnswer;
 import org.chivevale.wire.proto.Frame;
 import org.chivevale.wire.proto.HealthReport;
@@ -53,6 +55,7 @@
     private static final long SWEEP_MILLIS = 250;
     private static final long REPORT_LIFE_NANOS = 2_500 * NANOS_PER_MILLI;
     private static final int CONNECTIONS_FOR_CONTROL = 2;
+    private static final long FIRST_LIFE_NANOS = 4_000 * NANOS_PER_MILLI;
 
     private final ControlSettings settings;
     private final Map<String, ConnectionShares> shares = new HashMap<>();
@@ -70,6 +73,7 @@
     private Counter renewals;
     private Timer inForceTimer;
     private long seenVersion;
+    private long leadingTerm;
     private long pushedConfigVersion;
     private long pushedMembersVersion;
 
@@ -88,7 +92,11 @@
         log = kernel.find(LogService.NAME, LogService.class);
         state = log.state();
         meters(kernel.find(Metrics.NAME, Metrics.class).registry());
-        loop.runAndWait(this::begin);
+        loop.runAndWait(
+                () -> {
+                    begin();
+                    state.listen(this::stateChanged);
+                });
         HostPort listen = settings.wireListen();
         server = new FrameServer(listen.host(), listen.port(), new Listener());
         loop.every(TICK_MILLIS, this::tick);
@@ -115,14 +123,28 @@
                         settings.leaseMillis() * NANOS_PER_MILLI,
                         settings.clockDriftPartsPerMillion(),
                         now);
+        shares.clear();
+        boards.clear();
         long started = System.currentTimeMillis();
         membership = new Membership(state.configuration(), started << 16);
         rates = new RateOwners(state.configuration(), started << 16);
         seenVersion = state.configuration().version();
-        state.listen(this::stateChanged);
+        knownEndpoints(now);
+    }
+
+    /** A new leader takes every endpoint for alive that the last one knew. */
+    private void knownEndpoints(long nowNanos) {
+        for (EndpointPut put : state.configuration().endpoints()) {
+            membership.announce(EndpointRegistry.announcement(put), nowNanos + FIRST_LIFE_NANOS);
+        }
     }
 
     private void stateChanged() {
+        if (state.leading() && state.term() != leadingTerm) {
+            leadingTerm = state.term();
+            begin();
+            return;
+        }
         List<LogEntry> entries = state.entriesAfter(seenVersion);
         seenVersion = state.configuration().version();
         if (entries == null) {
@@ -204,6 +226,10 @@
     }
 
     private void handle(FrameConnection connection, Frame frame) {
+        if (frame.hasRaftMessage()) {
+            log.receive(frame.getRaftMessage());
+            return;
+        }
         Frame.Builder answer = Frame.newBuilder().setCorrelationId(frame.getCorrelationId());
         if (!log.leading()) {
             answer.setErrorAnswer(
@@ -250,6 +276,7 @@
                 RenewAnswer.newBuilder()
                         .setGranted(true)
                         .setLeaseMillis(leaseNanos / NANOS_PER_MILLI)
+                        .addAllControlAddresses(log.members())
                         .addAllConnectionShares(shares(request));
         addConfiguration(answer, request.getConfigVersion());
         addMembers(answer, request.getMembersVersion());
@@ -336,14 +363,25 @@
                     change.hasOperatorPut()
                             || change.hasPlanStored()
                             || change.hasDatabaseCredentialPut()
-                            || change.hasFailoverStep();
+                            || change.hasFailoverStep()
+                            || change.hasEndpointPut()
+                            || change.hasEndpointRemoved();
             if (!controlOnly) {
-                visible.addChanges(change);
+                visible.addChanges(change.hasDesiredStored() ? versionOnly(change) : change);
             }
         }
         return visible.build();
     }
 
+    /** What an operator sent is kept by control only. */
+    private static Change versionOnly(Change change) {
+        return Change.newBuilder()
+                .setDesiredStored(
+                        DesiredStored.newBuilder()
+                                .setVersion(change.getDesiredStored().getVersion()))
+                .build();
+    }
+
     private void addMembers(RenewAnswer.Builder answer, long knownVersion) {
         answer.setMembersVersion(membership.version());
         if (knownVersion != membership.version()) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InstanceAnnouncement.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InstanceAnnouncement.java
@@ -3,6 +3,7 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.settings.HostPort;
+import org.chivevale.database.MemberTarget;
 
 /**
  * What an endpoint announces of one database group.
@@ -20,6 +21,8 @@
  * @param upstream whom it follows, or an empty text
  * @param connectionLimit connections it accepts
  * @param leaving true when it wants no new work
+ * @param followsByItself true when its database finds a new primary and follows it without being
+ *     told
  */
 public record InstanceAnnouncement(
         EndpointId endpoint,
@@ -32,4 +35,14 @@
         long timeline,
         String upstream,
         int connectionLimit,
-        boolean leaving) {}
+        boolean leaving,
+        boolean followsByItself) {
+    /**
+     * Returns where the instance is reached.
+     *
+     * @return its place in the group
+     */
+    public MemberTarget target() {
+        return new MemberTarget(endpoint, group, address);
+    }
+}
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
@@ -60,6 +60,18 @@
         }
     }
 
+    /**
+     * Forgets an instance that has ended.
+     *
+     * @param endpoint the endpoint
+     * @param group the database group
+     */
+    public void remove(EndpointId endpoint, GroupId group) {
+        if (instances.remove(key(endpoint, group)) != null) {
+            version++;
+        }
+    }
+
     private static String key(EndpointId endpoint, GroupId group) {
         return group + "/" + endpoint;
     }
@@ -235,7 +247,13 @@
     /** Returns the term in which an instance may serve reads; 0 while it may not. */
     private long inServiceTerm(InstanceAnnouncement instance) {
         Group group = configuration.group(instance.group());
-        if (group.primary() == null || instance.timeline() != group.term()) {
+        if (instance.followsByItself()) {
+            return instance.leaving() ? 0 : group.term();
+        }
+        if (group.primary() == null) {
+            return 0;
+        }
+        if (instance.timeline() != group.term()) {
             return 0;
         }
         if (instance.endpoint().equals(group.primary())) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -7,8 +7,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Random;
 import org.chivevale.consensus.AgreedLog;
 import org.chivevale.consensus.SoloLog;
+import org.chivevale.consensus.raft.MemberId;
+import org.chivevale.consensus.raft.RaftNode;
+import org.chivevale.consensus.raft.RaftTiming;
 import org.chivevale.consensus.store.LogStore;
 import org.chivevale.control.ControlSettings;
 import org.chivevale.core.account.ClientKey;
@@ -23,6 +27,7 @@
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.OperatorPut;
+import org.chivevale.wire.proto.RaftMessage;
 import org.chivevale.wire.proto.SessionSecretPut;
 
 /**
@@ -37,11 +42,20 @@
 
     private static final int SECRET_BYTES = 32;
     private static final String ROOT = "root";
+    private static final long TICK_MILLIS = 20;
+    private static final int HEARTBEAT_MILLIS = 120;
+    private static final int ELECTION_MIN_MILLIS = 600;
+    private static final int ELECTION_MAX_MILLIS = 1000;
+    private static final int LEASE_MARGIN_MILLIS = 100;
+    private static final int REPLACE_AFTER_MILLIS = 1500;
+    private static final String FIRST_STORE = "first";
 
     private final ControlSettings settings;
     private final ControlState state = new ControlState();
     private final Deque<Pending> queue = new ArrayDeque<>();
     private AgreedLog log;
+    private EventLoop loop;
+    private FrameTransport transport;
     private boolean appending;
 
     /** Makes the changes of an entry when its turn has come. */
@@ -68,27 +82,104 @@
 
     @Override
     public void start(Kernel kernel) {
-        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        loop = kernel.find(EventLoop.NAME, EventLoop.class);
         loop.runAndWait(
                 () -> {
                     LogStore store = LogStore.open(settings.dataFolder());
-                    log = new SoloLog(settings.id(), store, state, settings.snapshotEvery());
-                    if (state.configuration().version() == 0) {
-                        propose(ROOT, "", ignored -> firstChanges());
-                    }
+                    log = open(store, loop);
+                    state.listen(this::writeFirst);
+                    writeFirst();
                 });
+        if (settings.replication() != null) {
+            loop.every(TICK_MILLIS, log::tick);
+        }
+    }
+
+    private AgreedLog open(LogStore store, EventLoop loop) {
+        ControlSettings.Replication replication = settings.replication();
+        if (replication == null) {
+            return new SoloLog(settings.id(), store, state, settings.snapshotEvery());
+        }
+        transport = new FrameTransport(loop);
+        RaftNode node =
+                new RaftNode(
+                        settings.wireListen(),
+                        store,
+                        state,
+                        transport,
+                        timing(replication),
+                        settings.snapshotEvery(),
+                        new Random(),
+                        EventLoop::nowNanos);
+        node.seeds(replication.seeds());
+        if (replication.first()) {
+            node.bootstrap(replication.seeds(), FIRST_STORE);
+        }
+        return node;
+    }
+
+    private static RaftTiming timing(ControlSettings.Replication replication) {
+        return new RaftTiming(
+                HEARTBEAT_MILLIS,
+                ELECTION_MIN_MILLIS,
+                ELECTION_MAX_MILLIS,
+                LEASE_MARGIN_MILLIS,
+                REPLACE_AFTER_MILLIS,
+                replication.voters());
+    }
+
+    private void writeFirst() {
+        boolean first = log != null && log.leading() && state.configuration().version() == 0;
+        if (first && queue.isEmpty() && !appending) {
+            propose(ROOT, "", now -> now.version() == 0 ? firstChanges() : List.of());
+        }
+    }
+
+    /**
+     * Handles a message of another control process.
+     *
+     * @param message what came
+     */
+    public void receive(RaftMessage message) {
+        if (transport != null) {
+            transport.heard(MemberId.parse(message.getFrom()).address());
+        }
+        log.receive(message);
+    }
+
+    /**
+     * Lists where control processes take connections that may lead.
+     *
+     * @return the leader first, where it is known
+     */
+    public List<String> members() {
+        return log.members();
+    }
+
+    /**
+     * Names this process.
+     *
+     * @return its id
+     */
+    public String processId() {
+        return settings.id();
     }
 
     private List<Change> firstChanges() {
         byte[] secret = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(secret);
-        ClientKey key = ClientKey.parse(settings.operatorKey());
-        return List.of(
+        Change session =
                 Change.newBuilder()
                         .setSessionSecretPut(
                                 SessionSecretPut.newBuilder()
                                         .setSecret(ByteString.copyFrom(secret)))
-                        .build(),
+                        .build();
+        if (settings.operatorKey().isEmpty()) {
+            return List.of(session);
+        }
+        ClientKey key = ClientKey.parse(settings.operatorKey());
+        return List.of(
+                session,
                 Change.newBuilder()
                         .setOperatorPut(
                                 OperatorPut.newBuilder()
@@ -199,8 +290,13 @@
         appendNext();
     }
 
+    @Override
+    public void drain() {
+        loop.runAndWait(log::handOver);
+    }
+
     @Override
     public void stop() {
-        log.close();
+        loop.runAndWait(log::close);
     }
 }
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/account/OpaqueKey.java
@@ -0,0 +1,43 @@
+package org.chivevale.core.account;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.HexFormat;
+
+/**
+ * Names keys that were not made here by their hash, so that no process keeps the key itself.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class OpaqueKey {
+    private static final int ID_BYTES = 16;
+
+    private OpaqueKey() {}
+
+    /**
+     * Hashes a key.
+     *
+     * @param key the key as its caller sends it
+     * @return its SHA-256
+     */
+    public static byte[] hash(String key) {
+        try {
+            return MessageDigest.getInstance("SHA-256")
+                    .digest(key.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+
+    /**
+     * Names a key.
+     *
+     * @param hash a result of {@link #hash}
+     * @return the id under which it is stored
+     */
+    public static String id(byte[] hash) {
+        return HexFormat.of().formatHex(Arrays.copyOf(hash, ID_BYTES));
+    }
+}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -1,5 +1,6 @@
 package org.chivevale.core.config;
 
+import java.security.MessageDigest;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import java.util.TreeMap;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.account.ClientKey;
+import org.chivevale.core.account.OpaqueKey;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.group.EndpointId;
@@ -19,6 +21,9 @@
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.ConfigurationSnapshot;
 import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.DesiredStored;
+import org.chivevale.wire.proto.EndpointPut;
+import org.chivevale.wire.proto.EndpointRemoved;
 import org.chivevale.wire.proto.FailoverStep;
 import org.chivevale.wire.proto.GroupState;
 import org.chivevale.wire.proto.KeyPut;
@@ -26,6 +31,7 @@
 import org.chivevale.wire.proto.OpenRoutePut;
 import org.chivevale.wire.proto.OperatorPut;
 import org.chivevale.wire.proto.PlanStored;
+import org.chivevale.wire.proto.SessionLimitsPut;
 
 /**
  * The configuration that the accepted log entries add up to.
@@ -46,6 +52,10 @@
     private final Map<String, Operator> operators = new TreeMap<>();
     private final Map<String, FailoverStep> failovers = new TreeMap<>();
     private final Map<String, PlanStored> plans = new LinkedHashMap<>();
+    private final RouteTable routes = new RouteTable();
+    private final Map<String, EndpointPut> endpoints = new TreeMap<>();
+    private SessionLimits sessionLimits = SessionLimits.DEFAULT;
+    private DesiredStored desired = DesiredStored.getDefaultInstance();
     private byte[] sessionSecret = new byte[0];
     private SessionTokenCodec sessionTokens;
 
@@ -85,6 +95,10 @@
         operators.clear();
         failovers.clear();
         plans.clear();
+        routes.clear();
+        endpoints.clear();
+        desired = DesiredStored.getDefaultInstance();
+        sessionLimits = SessionLimits.DEFAULT;
         snapshot.getChangesList().forEach(this::apply);
         version = snapshot.getVersion();
     }
@@ -108,6 +122,13 @@
             case FAILOVER_STEP -> putFailover(change.getFailoverStep());
             case OPERATOR_PUT -> putOperator(change.getOperatorPut());
             case PLAN_STORED -> putPlan(change.getPlanStored());
+            case ROUTE_PUT -> routes.put(change.getRoutePut());
+            case ROUTE_REMOVED -> routes.remove(change.getRouteRemoved().getName());
+            case SESSION_LIMITS_PUT -> putSessionLimits(change.getSessionLimitsPut());
+            case DATABASE_REMOVED -> removeDatabase(change.getDatabaseRemoved().getDatabase());
+            case DESIRED_STORED -> desired = change.getDesiredStored();
+            case ENDPOINT_PUT -> putEndpoint(change.getEndpointPut());
+            case ENDPOINT_REMOVED -> removeEndpoint(change.getEndpointRemoved());
             default -> throw new IllegalStateException("change " + change.getKindCase());
         }
     }
@@ -149,7 +170,29 @@
                         put.getDatabase(),
                         put.getSlots(),
                         put.getAcknowledgeByQuorum(),
-                        put.getEndpointsPerGroup()));
+                        put.getEndpointsPerGroup(),
+                        put.getConnectionLimit(),
+                        put.getPromotionAnswers()));
+    }
+
+    private void putSessionLimits(SessionLimitsPut put) {
+        sessionLimits =
+                new SessionLimits(put.getTransactionIdleMillis(), put.getSessionIdleMillis());
+    }
+
+    private void removeDatabase(String name) {
+        databases.remove(name);
+        groups.values().removeIf(group -> group.id().database().equals(name));
+        failovers.keySet().removeIf(group -> GroupId.parse(group).database().equals(name));
+        endpoints.values().removeIf(put -> GroupId.parse(put.getGroupId()).database().equals(name));
+    }
+
+    private void putEndpoint(EndpointPut put) {
+        endpoints.put(put.getGroupId() + "/" + put.getEndpointId(), put);
+    }
+
+    private void removeEndpoint(EndpointRemoved removed) {
+        endpoints.remove(removed.getGroupId() + "/" + removed.getEndpointId());
     }
 
     private void putGroup(GroupState state) {
@@ -438,6 +481,94 @@
         return sessionTokens;
     }
 
+    /**
+     * Finds the route of a host.
+     *
+     * @param host the database name that a caller gave
+     * @return the route, or null
+     */
+    public Route routeOfHost(String host) {
+        return routes.ofHost(host);
+    }
+
+    /**
+     * Finds a route.
+     *
+     * @param name its name
+     * @return the route, or null
+     */
+    public Route route(String name) {
+        return routes.named(name);
+    }
+
+    /**
+     * Lists the routes of sessions.
+     *
+     * @return read-only view
+     */
+    public Collection<Route> routes() {
+        return routes.all();
+    }
+
+    /**
+     * Returns how long sessions may rest.
+     *
+     * @return the limits in force
+     */
+    public SessionLimits sessionLimits() {
+        return sessionLimits;
+    }
+
+    /**
+     * Returns the version of the newest configuration that was replaced as a whole.
+     *
+     * @return the operator's version, 0 when there was none
+     */
+    public long desiredVersion() {
+        return desired.getVersion();
+    }
+
+    /**
+     * Returns the newest configuration that was replaced as a whole.
+     *
+     * @return as its operator sent it, empty in proxies
+     */
+    public DesiredStored desired() {
+        return desired;
+    }
+
+    /**
+     * Lists the endpoints as they announced themselves last.
+     *
+     * @return read-only view; empty in proxies
+     */
+    public Collection<EndpointPut> endpoints() {
+        return Collections.unmodifiableCollection(endpoints.values());
+    }
+
+    /**
+     * Finds what an endpoint announced last.
+     *
+     * @param group the database group
+     * @param endpoint the endpoint
+     * @return the announcement, or null
+     */
+    public EndpointPut endpoint(GroupId group, EndpointId endpoint) {
+        return endpoints.get(group + "/" + endpoint);
+    }
+
+    /**
+     * Finds the owner of a key that was not made here.
+     *
+     * @param text the key as its caller sends it
+     * @return the stored key, or null when no account holds it
+     */
+    public StoredKey findOpaque(String text) {
+        byte[] hash = OpaqueKey.hash(text);
+        StoredKey stored = keys.get(OpaqueKey.id(hash));
+        return stored != null && MessageDigest.isEqual(stored.hash(), hash) ? stored : null;
+    }
+
     /**
      * Returns everything as changes that rebuild it.
      *
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationDiff.java
@@ -0,0 +1,146 @@
+package org.chivevale.core.config;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.chivevale.wire.proto.AccountRemoved;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.DatabaseRemoved;
+import org.chivevale.wire.proto.DesiredStored;
+import org.chivevale.wire.proto.KeyWithdrawn;
+import org.chivevale.wire.proto.RouteRemoved;
+
+/**
+ * The changes that turn the configuration in force into a wanted one.
+ *
+ * <p>Invariant: applying them to the configuration gives the wanted routes, databases, accounts and
+ * keys, whatever was there before. Removals of accounts and keys come first, so that a key can move
+ * to another account. Holds no state beyond one comparison.
+ */
+public final class ConfigurationDiff {
+    private final Configuration now;
+    private final DesiredConfiguration desired;
+    private final List<Change> changes = new ArrayList<>();
+
+    /**
+     * Prepares a comparison.
+     *
+     * @param now what is in force
+     * @param desired what shall be
+     */
+    public ConfigurationDiff(Configuration now, DesiredConfiguration desired) {
+        this.now = now;
+        this.desired = desired;
+    }
+
+    /**
+     * Compares.
+     *
+     * @return the changes, none when the version is not above the newest one accepted
+     */
+    public List<Change> call() {
+        if (desired.version() <= now.desiredVersion()) {
+            return List.of();
+        }
+        removeKeysAndAccounts();
+        desired.databases().forEach(this::put);
+        desired.accounts().forEach(this::put);
+        desired.keys().forEach(this::put);
+        routes();
+        removeDatabases();
+        if (!desired.limits().equals(now.sessionLimits())) {
+            changes.add(ConfigurationWriter.change(desired.limits()));
+        }
+        changes.add(
+                Change.newBuilder()
+                        .setDesiredStored(
+                                DesiredStored.newBuilder()
+                                        .setVersion(desired.version())
+                                        .setSource(ByteString.copyFrom(desired.source())))
+                        .build());
+        return changes;
+    }
+
+    private void removeKeysAndAccounts() {
+        Set<String> keys = new HashSet<>();
+        desired.keys().forEach(key -> keys.add(key.id()));
+        for (StoredKey key : now.keys()) {
+            if (!keys.contains(key.id())) {
+                changes.add(
+                        Change.newBuilder()
+                                .setKeyWithdrawn(KeyWithdrawn.newBuilder().setKeyId(key.id()))
+                                .build());
+            }
+        }
+        Set<String> accounts = new HashSet<>();
+        desired.accounts().forEach(account -> accounts.add(account.id().value()));
+        for (Account account : now.accounts()) {
+            if (!accounts.contains(account.id().value())) {
+                changes.add(
+                        Change.newBuilder()
+                                .setAccountRemoved(
+                                        AccountRemoved.newBuilder()
+                                                .setAccountId(account.id().value()))
+                                .build());
+            }
+        }
+    }
+
+    private void put(Database database) {
+        if (!database.equals(now.database(database.name()))) {
+            changes.add(ConfigurationWriter.change(database));
+        }
+    }
+
+    private void put(Account account) {
+        if (!account.equals(now.account(account.id()))) {
+            changes.add(ConfigurationWriter.change(account));
+        }
+    }
+
+    private void put(StoredKey key) {
+        StoredKey before = now.key(key.id());
+        boolean same =
+                before != null
+                        && before.account().equals(key.account())
+                        && Arrays.equals(before.hash(), key.hash());
+        if (!same) {
+            changes.add(ConfigurationWriter.change(key));
+        }
+    }
+
+    private void routes() {
+        Set<String> names = new HashSet<>();
+        for (Route route : desired.routes()) {
+            names.add(route.name());
+            if (!route.equals(now.route(route.name()))) {
+                changes.add(ConfigurationWriter.change(route));
+            }
+        }
+        for (Route route : now.routes()) {
+            if (!names.contains(route.name())) {
+                changes.add(
+                        Change.newBuilder()
+                                .setRouteRemoved(RouteRemoved.newBuilder().setName(route.name()))
+                                .build());
+            }
+        }
+    }
+
+    private void removeDatabases() {
+        Set<String> names = new HashSet<>();
+        desired.databases().forEach(database -> names.add(database.name()));
+        for (Database database : now.databases()) {
+            if (!names.contains(database.name())) {
+                changes.add(
+                        Change.newBuilder()
+                                .setDatabaseRemoved(
+                                        DatabaseRemoved.newBuilder().setDatabase(database.name()))
+                                .build());
+            }
+        }
+    }
+}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
@@ -12,6 +12,8 @@
 import org.chivevale.wire.proto.KeyPut;
 import org.chivevale.wire.proto.OpenRoutePut;
 import org.chivevale.wire.proto.OperatorPut;
+import org.chivevale.wire.proto.RoutePut;
+import org.chivevale.wire.proto.SessionLimitsPut;
 import org.chivevale.wire.proto.SessionSecretPut;
 
 /**
@@ -41,6 +43,8 @@
         source.keys().forEach(this::write);
         source.groups().forEach(this::write);
         source.openRoutes().forEach(this::write);
+        source.routes().forEach(route -> out.addChanges(change(route)));
+        out.addChanges(change(source.sessionLimits()));
         if (!forProxy) {
             writeControlOnly();
         }
@@ -69,41 +73,58 @@
         source.failovers()
                 .values()
                 .forEach(step -> out.addChanges(Change.newBuilder().setFailoverStep(step)));
+        source.endpoints().forEach(put -> out.addChanges(Change.newBuilder().setEndpointPut(put)));
+        if (source.desiredVersion() > 0) {
+            out.addChanges(Change.newBuilder().setDesiredStored(source.desired()));
+        }
         source.plans().forEach(plan -> out.addChanges(Change.newBuilder().setPlanStored(plan)));
     }
 
     private void write(Database database) {
-        out.addChanges(
-                Change.newBuilder()
-                        .setDatabasePut(
-                                DatabasePut.newBuilder()
-                                        .setDatabase(database.name())
-                                        .setSlots(database.slots())
-                                        .setAcknowledgeByQuorum(database.acknowledgeByQuorum())
-                                        .setEndpointsPerGroup(database.endpointsPerGroup())));
+        out.addChanges(change(database));
+    }
+
+    static Change change(Database database) {
+        return Change.newBuilder()
+                .setDatabasePut(
+                        DatabasePut.newBuilder()
+                                .setDatabase(database.name())
+                                .setSlots(database.slots())
+                                .setAcknowledgeByQuorum(database.acknowledgeByQuorum())
+                                .setEndpointsPerGroup(database.endpointsPerGroup())
+                                .setConnectionLimit(database.connectionLimit())
+                                .setPromotionAnswers(database.promotionAnswers()))
+                .build();
     }
 
     private void write(Account account) {
-        out.addChanges(
-                Change.newBuilder()
-                        .setAccountPut(
-                                AccountPut.newBuilder()
-                                        .setAccountId(account.id().value())
-                                        .setRatePerSecond(account.ratePerSecond())
-                                        .setBurst(account.burst())
-                                        .addAllDatabases(account.databases())
-                                        .setLatencyObjectiveMillis(
-                                                account.latencyObjectiveMillis())));
+        out.addChanges(change(account));
+    }
+
+    static Change change(Account account) {
+        return Change.newBuilder()
+                .setAccountPut(
+                        AccountPut.newBuilder()
+                                .setAccountId(account.id().value())
+                                .setRatePerSecond(account.ratePerSecond())
+                                .setBurst(account.burst())
+                                .addAllDatabases(account.databases())
+                                .setLatencyObjectiveMillis(account.latencyObjectiveMillis()))
+                .build();
     }
 
     private void write(StoredKey key) {
-        out.addChanges(
-                Change.newBuilder()
-                        .setKeyPut(
-                                KeyPut.newBuilder()
-                                        .setKeyId(key.id())
-                                        .setAccountId(key.account().value())
-                                        .setHash(ByteString.copyFrom(key.hash()))));
+        out.addChanges(change(key));
+    }
+
+    static Change change(StoredKey key) {
+        return Change.newBuilder()
+                .setKeyPut(
+                        KeyPut.newBuilder()
+                                .setKeyId(key.id())
+                                .setAccountId(key.account().value())
+                                .setHash(ByteString.copyFrom(key.hash())))
+                .build();
     }
 
     private void write(Group group) {
@@ -138,4 +159,30 @@
                                         .setSql(route.sql())
                                         .setAcceptedAgeMillis(route.acceptedAgeMillis())));
     }
+
+    static Change change(Route route) {
+        return Change.newBuilder()
+                .setRoutePut(
+                        RoutePut.newBuilder()
+                                .setName(route.name())
+                                .setHost(route.host())
+                                .setPrefix(route.prefix())
+                                .setDatabase(route.database())
+                                .setReadPolicy(route.readPolicy().name())
+                                .setStatementTimeoutMillis(route.statementTimeoutMillis())
+                                .setLatencyObjectiveMillis(route.latencyObjectiveMillis())
+                                .setPriority(route.priority())
+                                .setMaxStalenessMillis(route.maxStalenessMillis())
+                                .setAnonymous(route.anonymous()))
+                .build();
+    }
+
+    static Change change(SessionLimits limits) {
+        return Change.newBuilder()
+                .setSessionLimitsPut(
+                        SessionLimitsPut.newBuilder()
+                                .setTransactionIdleMillis(limits.transactionIdleMillis())
+                                .setSessionIdleMillis(limits.sessionIdleMillis()))
+                .build();
+    }
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
@@ -10,8 +10,18 @@
  * @param acknowledgeByQuorum true when a write is acknowledged once a majority of the group's
  *     endpoints hold it, false when the primary alone is enough
  * @param endpointsPerGroup how many endpoints hold a copy of each group
+ * @param connectionLimit connections that an endpoint takes from all callers; 0 when it announces
+ *     them
+ * @param promotionAnswers members that must answer before a promotion; 0 for a majority that cannot
+ *     miss an acknowledged write
  */
-public record Database(String name, int slots, boolean acknowledgeByQuorum, int endpointsPerGroup) {
+public record Database(
+        String name,
+        int slots,
+        boolean acknowledgeByQuorum,
+        int endpointsPerGroup,
+        int connectionLimit,
+        int promotionAnswers) {
     /**
      * Returns how many members must answer before a promotion, so that one of them holds every
      * write that a quorum held.
@@ -19,7 +29,7 @@
      * @return the smallest number that meets every quorum
      */
     public int answersForPromotion() {
-        return endpointsPerGroup - quorum() + 1;
+        return promotionAnswers > 0 ? promotionAnswers : endpointsPerGroup - quorum() + 1;
     }
 
     /**
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
@@ -17,6 +17,7 @@
 
     private final long promotionPatienceMillis;
     private final long handOverPatienceMillis;
+    private final long settleMillis;
 
     /**
      * Creates a policy.
@@ -26,8 +27,21 @@
      *     the old primary is reinstated
      */
     public FailoverPolicy(long promotionPatienceMillis, long handOverPatienceMillis) {
+        this(promotionPatienceMillis, handOverPatienceMillis, 0);
+    }
+
+    /**
+     * Creates the policy.
+     *
+     * @param promotionPatienceMillis time after which a promotion is given up
+     * @param handOverPatienceMillis time that replicas get to catch up in a planned change
+     * @param settleMillis time that members get to answer beyond those that are needed
+     */
+    public FailoverPolicy(
+            long promotionPatienceMillis, long handOverPatienceMillis, long settleMillis) {
         this.promotionPatienceMillis = promotionPatienceMillis;
         this.handOverPatienceMillis = handOverPatienceMillis;
+        this.settleMillis = settleMillis;
     }
 
     /**
@@ -65,7 +79,8 @@
     private FailoverAction choose(FailoverView view) {
         MemberPosition old = view.replaced() == null ? null : view.positions().get(view.replaced());
         boolean oldUnharmed = old != null && old.primary() && old.timeline() == view.term();
-        if (view.planned() && oldUnharmed) {
+        boolean movable = view.planned() || settleMillis > 0;
+        if (movable && oldUnharmed) {
             return handOver(view, old);
         }
         int needed = view.phase().withLoss() ? ANSWERS_WITH_LOSS : view.answersNeeded();
@@ -78,6 +93,12 @@
                                     + needed
                                     + " members needed have answered with their positions");
         }
+        boolean moreExpected = view.positions().size() < view.membersKnown();
+        if (moreExpected && view.collectingForMillis() < settleMillis) {
+            return view.collectingForMillis() == 0
+                    ? new FailoverAction.Collect()
+                    : new FailoverAction.Blocked("members may still answer");
+        }
         Optional<MemberPosition> furthest = view.positions().values().stream().max(BY_PROGRESS);
         MemberPosition best = furthest.orElseThrow();
         if (oldUnharmed && best.equals(old)) {
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
@@ -19,6 +19,7 @@
  * @param leaving true when the primary has announced that it leaves
  * @param fenceInForce true when no proxy can act on the old primary any more
  * @param answersNeeded how many members must answer with their positions
+ * @param membersKnown how many members are announced
  * @param positions the answers collected since the fence was in force
  * @param collectingForMillis how long positions have been collected
  * @param promotion what the candidate answered, or null
@@ -36,6 +37,7 @@
         boolean leaving,
         boolean fenceInForce,
         int answersNeeded,
+        int membersKnown,
         Map<EndpointId, MemberPosition> positions,
         long collectingForMillis,
         MemberPosition promotion,
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/route/MemberChoice.java
@@ -0,0 +1,51 @@
+package org.chivevale.core.route;
+
+import java.util.List;
+
+/**
+ * Chooses the member for a read by expected time and distance.
+ *
+ * <p>Answers the load of many short reads over few connections: a near member is preferred until
+ * its queue costs more than the way to another. The primary alone can take writes, so reads pay
+ * extra there. Stateless and thread safe.
+ */
+public final class MemberChoice {
+    /** No member can serve. */
+    public static final int NONE = -1;
+
+    private static final double[] DISTANCE_COST_MILLIS = {0, 4, 60};
+    private static final double PRIMARY_COST_MILLIS = 25;
+    private static final double UNKNOWN_FRESHNESS_COST_MILLIS = 3;
+    private static final double AVOIDED_COST_MILLIS = 2000;
+
+    private MemberChoice() {}
+
+    /**
+     * Chooses.
+     *
+     * @param members who could serve
+     * @return an index, or {@link #NONE}
+     */
+    public static int choose(List<MemberView> members) {
+        int best = NONE;
+        double bestCost = Double.MAX_VALUE;
+        for (int i = 0; i < members.size(); i++) {
+            double cost = costMillis(members.get(i));
+            if (cost < bestCost) {
+                best = i;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private static double costMillis(MemberView member) {
+        double rounds = (double) member.waiting() / Math.max(1, member.connections());
+        double cost = DISTANCE_COST_MILLIS[member.distance()];
+        cost += member.responseMillis() * (1 + rounds);
+        cost += member.primary() ? PRIMARY_COST_MILLIS : 0;
+        cost += member.fresh() || member.primary() ? 0 : UNKNOWN_FRESHNESS_COST_MILLIS;
+        cost += member.avoided() ? AVOIDED_COST_MILLIS : 0;
+        return cost;
+    }
+}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
@@ -4,7 +4,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
@@ -13,6 +15,7 @@
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
 
 /**
  * Reads a TOML file of settings and checks each value.
@@ -164,6 +167,33 @@
         return addresses;
     }
 
+    /**
+     * Reads a table of texts.
+     *
+     * @param key name of the table
+     * @return its entries; empty when it is missing
+     */
+    public Map<String, String> table(String key) {
+        Map<String, String> entries = new LinkedHashMap<>();
+        TomlTable table = toml.isTable(key) ? toml.getTable(key) : null;
+        if (table == null) {
+            return entries;
+        }
+        for (String name : table.keySet()) {
+            Object value = table.get(List.of(name));
+            read.add(
+                    Toml.joinKeyPath(List.of(key.split("\\.")))
+                            + "."
+                            + Toml.joinKeyPath(List.of(name)));
+            if (value instanceof String text) {
+                entries.put(name, text);
+            } else {
+                reject(key, value, "texts");
+            }
+        }
+        return entries;
+    }
+
     /**
      * Reads a list of texts.
      *
--- a/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseConnection.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseConnection.java
@@ -11,7 +11,7 @@
  * a doubt about the connection's state, {@link #usable} is false and it must be closed. Used on one
  * event loop. Another kind of database is another class of this interface.
  */
-public interface DatabaseConnection {
+public interface DatabaseConnection extends MemberConnection {
     /**
      * Runs statements that only read.
      *
@@ -91,53 +91,6 @@
      */
     Future<Long> replicaPosition();
 
-    /**
-     * Asks a member, primary or replica.
-     *
-     * @return its status
-     */
-    Future<MemberStatus> memberStatus();
-
-    /**
-     * Makes a replica the primary; a primary stays one.
-     *
-     * @return its status afterwards
-     */
-    Future<MemberStatus> promote();
-
-    /**
-     * Makes a member follow a primary.
-     *
-     * @param host the primary's address
-     * @param port the primary's port
-     * @return completes when the member has taken it
-     */
-    Future<Void> follow(String host, int port);
-
-    /**
-     * Makes a replica follow nobody.
-     *
-     * @return completes when it receives nothing more
-     */
-    Future<Void> cutOff();
-
-    /**
-     * Makes the tables that the system needs, and the roles and schemas of client accounts.
-     *
-     * @param accounts the client accounts
-     * @return completes when all are there
-     */
-    Future<Void> provision(List<ClientAccountId> accounts);
-
-    /**
-     * Forgets recorded requests that are too old to be repeated.
-     *
-     * @param beforeUnixMillis requests whose id has an earlier time
-     * @param atMost how many are forgotten at most
-     * @return how many were
-     */
-    Future<Integer> purgeRequests(long beforeUnixMillis, int atMost);
-
     /**
      * Tells whether the connection can take another request.
      *
@@ -152,9 +105,6 @@
      */
     boolean commitPending();
 
-    /** Closes the connection at once, without waiting for the endpoint. */
-    void close();
-
     /**
      * Returns the highest position at which this connection has read.
      *
--- a/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseConnector.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseConnector.java
@@ -8,7 +8,7 @@
  *
  * <p>Used on one event loop.
  */
-public interface DatabaseConnector {
+public interface DatabaseConnector extends MemberConnector {
     /**
      * Opens a connection.
      *
@@ -19,4 +19,9 @@
      * @return the connection
      */
     Future<DatabaseConnection> connect(String host, int port, GroupId group, Runnable onClose);
+
+    @Override
+    default Future<DatabaseConnection> connect(MemberTarget target) {
+        return connect(target.address().host(), target.address().port(), target.group(), () -> {});
+    }
 }
--- a/org.chivevale.database/src/main/java/org/chivevale/database/internal/postgres/PostgresConnection.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/internal/postgres/PostgresConnection.java
@@ -21,6 +21,7 @@
 import org.chivevale.database.DatabaseFailure;
 import org.chivevale.database.MemberStatus;
 import org.chivevale.database.PrimaryStatus;
+import org.chivevale.database.PromotionOrder;
 import org.chivevale.database.ReadAnswer;
 import org.chivevale.database.RequestRecord;
 import org.chivevale.database.ResultsJson;
@@ -448,7 +449,7 @@
     }
 
     @Override
-    public Future<MemberStatus> promote() {
+    public Future<MemberStatus> promote(PromotionOrder order) {
         return connection
                 .preparedQuery(Sql.IS_REPLICA)
                 .execute()
@@ -467,7 +468,7 @@
     }
 
     @Override
-    public Future<Void> cutOff() {
+    public Future<Void> cutOff(long term) {
         return simple(Sql.FOLLOW_NOBODY).compose(ignored -> simple(Sql.RELOAD));
     }
 
--- /dev/null
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/BootClock.java
@@ -0,0 +1,47 @@
+package org.chivevale.process;
+
+import com.sun.jna.Function;
+import com.sun.jna.Memory;
+import com.sun.jna.NativeLibrary;
+import com.sun.jna.Platform;
+
+/**
+ * A steady clock that goes on while the VM is suspended.
+ *
+ * <p>Leases count on it: the usual steady clock of Java stands still during a suspension, and the
+ * time of day may jump. Reads CLOCK_BOOTTIME of Linux; elsewhere it falls back to {@link
+ * System#nanoTime}. Thread safe.
+ */
+public final class BootClock {
+    private static final int CLOCK_BOOTTIME = 7;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final int TIMESPEC_BYTES = 16;
+    private static final ThreadLocal<Memory> BUFFER =
+            ThreadLocal.withInitial(() -> new Memory(TIMESPEC_BYTES));
+
+    /** Bound when the clock is first read. */
+    private static final class LibC {
+        static final Function CLOCK_GETTIME =
+                NativeLibrary.getInstance("c").getFunction("clock_gettime");
+
+        private LibC() {}
+    }
+
+    private BootClock() {}
+
+    /**
+     * Reads the clock.
+     *
+     * @return nanoseconds since an arbitrary start, the same for all processes of the VM
+     */
+    public static long nanos() {
+        if (!Platform.isLinux()) {
+            return System.nanoTime();
+        }
+        Memory buffer = BUFFER.get();
+        if (LibC.CLOCK_GETTIME.invokeInt(new Object[] {CLOCK_BOOTTIME, buffer}) != 0) {
+            throw new IllegalStateException("CLOCK_BOOTTIME cannot be read");
+        }
+        return buffer.getLong(0) * NANOS_PER_SECOND + buffer.getLong(Long.BYTES);
+    }
+}
--- a/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
@@ -24,13 +24,21 @@
 
     private static final Logger LOG = Logger.getLogger(EventLoop.class);
     private static final int STOP_SECONDS = 5;
+    private static final long BLOCKED_CHECK_MILLIS = 10_000;
 
     private Vertx vertx;
     private Context context;
 
     @Override
     public void start(Kernel kernel) {
-        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        vertx =
+                Vertx.vertx(
+                        new VertxOptions()
+                                .setEventLoopPoolSize(1)
+                                .setWorkerPoolSize(1)
+                                .setInternalBlockingPoolSize(1)
+                                .setPreferNativeTransport(false)
+                                .setBlockedThreadCheckInterval(BLOCKED_CHECK_MILLIS));
         context = vertx.getOrCreateContext();
         context.exceptionHandler(failure -> LOG.error("unexpected failure", failure));
     }
@@ -95,7 +103,7 @@
      * @return nanoseconds from an arbitrary start
      */
     public static long nowNanos() {
-        return System.nanoTime();
+        return BootClock.nanos();
     }
 
     @Override
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
@@ -91,6 +91,8 @@
             int queuedPerAccount,
             int transactionsPerAccount) {}
 
+    private static final HostPort NO_ADDRESS = new HostPort("0.0.0.0", 0);
+    private static final int MAX_PORT = 65_535;
     private static final int MINUTE_MILLIS = 60_000;
     private static final int MEGABYTE = 1 << 20;
 
@@ -102,23 +104,40 @@
      */
     public static ProxySettings read(Path path) {
         Settings in = Settings.read(path);
+        ProxySettings settings = read(in);
+        in.check();
+        return settings;
+    }
+
+    /**
+     * Reads the settings of a proxy from a file that may hold more.
+     *
+     * @param in the file; the caller checks it when everything is read
+     * @return the settings
+     */
+    public static ProxySettings read(Settings in) {
         List<HostPort> control = in.addresses("control");
         if (control.isEmpty()) {
             in.reject("control", null, "a list of \"IP:PORT\", one at least");
         }
-        ProxySettings settings =
-                new ProxySettings(
-                        in.text("id", "a name"),
-                        in.text("region", "a name"),
-                        in.text("data_center", "a name"),
-                        in.address("listen"),
-                        in.address("forward_listen"),
-                        control,
-                        in.text("database_password", "a text"),
-                        timing(in),
-                        limits(in));
-        in.check();
-        return settings;
+        boolean http = in.flag("http_api", true);
+        return new ProxySettings(
+                in.text("id", "a name"),
+                in.text("region", "a name"),
+                in.text("data_center", "a name"),
+                http ? in.address("listen") : NO_ADDRESS,
+                http ? in.address("forward_listen") : NO_ADDRESS,
+                onPort(control, in.number("control_port", 0, 0, MAX_PORT)),
+                http ? in.text("database_password", "a text") : "",
+                timing(in),
+                limits(in));
+    }
+
+    private static List<HostPort> onPort(List<HostPort> addresses, int port) {
+        if (port == 0) {
+            return addresses;
+        }
+        return addresses.stream().map(address -> new HostPort(address.host(), port)).toList();
     }
 
     private static Timing timing(Settings in) {
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
@@ -0,0 +1,49 @@
+package org.chivevale.proxy;
+
+import java.util.function.Function;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.database.session.SessionConnector;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.internal.fleet.ControlLink;
+import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.rate.RateGate;
+import org.chivevale.proxy.internal.session.SessionPools;
+import org.chivevale.proxy.session.SessionService;
+
+/**
+ * Registers the services of a proxy that serves sessions over connections.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class SessionKernel {
+    private SessionKernel() {}
+
+    /**
+     * Registers the services.
+     *
+     * @param settings the process's settings
+     * @param connectors opens connections to endpoints
+     * @return a kernel to which services for callers are added
+     */
+    public static Kernel create(
+            ProxySettings settings, Function<EventLoop, SessionConnector> connectors) {
+        Directory directory = new Directory(settings);
+        SessionPools pools = new SessionPools(directory, connectors);
+        return new Kernel()
+                .register(EventLoop.NAME, new EventLoop())
+                .register(Metrics.NAME, new Metrics())
+                .register(
+                        ControlLink.NAME,
+                        new ControlLink(settings, directory),
+                        EventLoop.NAME,
+                        Metrics.NAME)
+                .register(SessionPools.NAME, pools, ControlLink.NAME)
+                .register(RateGate.NAME, new RateGate(settings), ControlLink.NAME)
+                .register(
+                        SessionService.NAME,
+                        new SessionService(settings, directory, pools),
+                        SessionPools.NAME,
+                        RateGate.NAME);
+    }
+}
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -51,7 +51,7 @@
     private Counter lostRenewals;
     private FrameConnection connection;
     private boolean connecting;
-    private int address;
+    private final ControlAddresses addresses;
     private long sequence;
     private boolean renewing;
     private boolean renewAgain;
@@ -73,6 +73,7 @@
     public ControlLink(ProxySettings settings, Directory directory) {
         this.settings = settings;
         this.directory = directory;
+        this.addresses = new ControlAddresses(settings.control());
     }
 
     /**
@@ -153,7 +154,7 @@
             connection = null;
         }
         renewing = false;
-        address = (address + 1) % settings.control().size();
+        addresses.failed();
         nextRenewNanos = EventLoop.nowNanos() + RETRY_MILLIS * NANOS_PER_MILLI;
     }
 
@@ -162,7 +163,7 @@
             return;
         }
         connecting = true;
-        HostPort target = settings.control().get(address);
+        HostPort target = addresses.next();
         client.connect(
                 target.host(),
                 target.port(),
@@ -245,6 +246,10 @@
                     renewSoon();
                 }
             }
+            case ERROR_ANSWER -> {
+                addresses.leads(frame.getErrorAnswer().getMessage());
+                abandon();
+            }
             default -> abandon();
         }
     }
@@ -262,6 +267,7 @@
             abandon();
             return;
         }
+        addresses.members(answer.getControlAddressesList());
         long versionBefore = directory.configuration().version();
         directory.renewed(answer, askedAtNanos);
         parts.forEach(part -> part.answered(answer));
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Placer.java
@@ -0,0 +1,126 @@
+package org.chivevale.proxy.internal.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.chivevale.core.config.Group;
+import org.chivevale.core.config.ReadPolicy;
+import org.chivevale.core.config.Route;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.group.TermPosition;
+import org.chivevale.core.route.MemberChoice;
+import org.chivevale.core.route.MemberView;
+import org.chivevale.process.EventLoop;
+import org.chivevale.proxy.ProxySettings;
+import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.wire.proto.EndpointMember;
+
+/**
+ * Chooses where a statement runs.
+ *
+ * <p>Invariants: writes and reads that must see every commit go to the primary only; a replica is
+ * chosen only with the position that bounds the read's staleness. Used on the event loop.
+ */
+final class Placer {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long STALENESS_MARGIN_NANOS = 50 * NANOS_PER_MILLI;
+    private static final long SILENCE_NANOS = 300 * NANOS_PER_MILLI;
+    private static final int ONLY_SLOT = 0;
+
+    private final ProxySettings settings;
+    private final Directory directory;
+    private final SessionPools pools;
+
+    private record Candidate(Placement placement, MemberView view) {}
+
+    Placer(ProxySettings settings, Directory directory, SessionPools pools) {
+        this.settings = settings;
+        this.directory = directory;
+        this.pools = pools;
+    }
+
+    static GroupId group(Route route) {
+        return new GroupId(route.database(), ONLY_SLOT);
+    }
+
+    /** The primary's place, or null while there is none. */
+    Placement primary(Route route) {
+        Group group = directory.configuration().group(group(route));
+        return group.primary() == null
+                ? null
+                : new Placement(pools.primary(group), group, true, null);
+    }
+
+    /**
+     * The best place for a read, or null while there is none.
+     *
+     * @param floor the last commit of the session
+     * @param passedOver members that were tried in vain
+     */
+    Placement read(Route route, TermPosition floor, Set<EndpointId> passedOver) {
+        if (route.readPolicy() == ReadPolicy.PRIMARY) {
+            return primary(route);
+        }
+        List<Candidate> candidates = candidates(route, floor);
+        candidates.removeIf(
+                candidate -> passedOver.contains(candidate.placement().pool().target().endpoint()));
+        List<MemberView> views = new ArrayList<>();
+        candidates.forEach(candidate -> views.add(candidate.view()));
+        int best = MemberChoice.choose(views);
+        return best == MemberChoice.NONE ? null : candidates.get(best).placement();
+    }
+
+    private List<Candidate> candidates(Route route, TermPosition floor) {
+        long now = EventLoop.nowNanos();
+        List<Candidate> candidates = new ArrayList<>();
+        Group group = directory.configuration().group(group(route));
+        Placement primary = primary(route);
+        if (primary != null) {
+            EndpointMember member = find(group);
+            candidates.add(new Candidate(primary, view(primary, member, now)));
+        }
+        long stalenessNanos = route.maxStalenessMillis() * NANOS_PER_MILLI - STALENESS_MARGIN_NANOS;
+        TermPosition required = pools.samples(group.id()).required(now, stalenessNanos);
+        if (required == null) {
+            return candidates;
+        }
+        TermPosition since =
+                route.readPolicy() == ReadPolicy.SESSION ? required.max(floor) : required;
+        for (EndpointMember member : directory.replicas(group)) {
+            Placement placement = new Placement(pools.member(member), group, false, since);
+            candidates.add(new Candidate(placement, view(placement, member, now)));
+        }
+        return candidates;
+    }
+
+    private EndpointMember find(Group group) {
+        for (EndpointMember member : directory.members(group.id())) {
+            if (member.getEndpointId().equals(group.primary().value())) {
+                return member;
+            }
+        }
+        return EndpointMember.getDefaultInstance();
+    }
+
+    private MemberView view(Placement placement, EndpointMember member, long nowNanos) {
+        EndpointPool pool = placement.pool();
+        boolean fresh =
+                placement.since() == null || pool.position().compareTo(placement.since()) >= 0;
+        return new MemberView(
+                placement.primary(),
+                distance(member),
+                pool.load(),
+                pool.share(),
+                pool.health().responseMillis(),
+                fresh,
+                pool.share() == 0 || pool.health().avoided(nowNanos, SILENCE_NANOS));
+    }
+
+    private int distance(EndpointMember member) {
+        if (member.getDataCenter().equals(settings.dataCenter())) {
+            return 0;
+        }
+        return member.getRegion().equals(settings.region()) ? 1 : 2;
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -0,0 +1,212 @@
+package org.chivevale.proxy.internal.session;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.chivevale.core.config.Group;
+import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.Service;
+import org.chivevale.core.route.FreshnessSamples;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.database.MemberTarget;
+import org.chivevale.database.session.SessionConnector;
+import org.chivevale.process.EventLoop;
+import org.chivevale.proxy.internal.fleet.ControlLink;
+import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.fleet.RenewalPart;
+import org.chivevale.wire.proto.ConnectionDemand;
+import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.HealthReport;
+import org.chivevale.wire.proto.RenewAnswer;
+import org.chivevale.wire.proto.RenewRequest;
+import org.jboss.logging.Logger;
+
+/**
+ * The pools of all endpoints, their leased shares, and what traffic says of primaries.
+ *
+ * <p>Invariant: a pool belongs to one endpoint at one address; an endpoint that has moved gets a
+ * new one. Used on the event loop.
+ */
+public final class SessionPools implements Service, RenewalPart {
+    /** Name in the kernel. */
+    public static final String NAME = "session-pools";
+
+    private static final Logger LOG = Logger.getLogger(SessionPools.class);
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long TICK_MILLIS = 25;
+    private static final long SHARE_WANTED_EVERY_NANOS = 100 * NANOS_PER_MILLI;
+    private static final long SUSPECT_SILENCE_NANOS = 700 * NANOS_PER_MILLI;
+    private static final long SUSPECT_FAILING_NANOS = 150 * NANOS_PER_MILLI;
+    private static final long HEALTHY_NANOS = 2_000 * NANOS_PER_MILLI;
+
+    private final Directory directory;
+    private final Function<EventLoop, SessionConnector> connectors;
+    private final Map<MemberTarget, EndpointPool> pools = new HashMap<>();
+    private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
+    private final Set<EndpointId> suspected = new HashSet<>();
+    private SessionConnector connector;
+    private ControlLink link;
+    private long shareWantedNanos;
+
+    /**
+     * Creates the service.
+     *
+     * @param directory what is known of the fleet
+     * @param connectors opens connections
+     */
+    public SessionPools(Directory directory, Function<EventLoop, SessionConnector> connectors) {
+        this.directory = directory;
+        this.connectors = connectors;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        link = kernel.find(ControlLink.NAME, ControlLink.class);
+        connector = connectors.apply(loop);
+        loop.runAndWait(
+                () -> {
+                    link.add(this);
+                    directory.listen(this::directoryChanged);
+                });
+        loop.every(TICK_MILLIS, this::tick);
+    }
+
+    private void tick() {
+        pools.values().forEach(EndpointPool::tick);
+        noteSuspects();
+    }
+
+    private void noteSuspects() {
+        long now = EventLoop.nowNanos();
+        for (Group group : directory.configuration().groups()) {
+            if (group.primary() == null) {
+                continue;
+            }
+            EndpointPool pool = pools.get(target(group));
+            boolean suspect = pool != null && suspect(pool, now);
+            if (suspect && suspected.add(group.primary())) {
+                LOG.warnf("primary %s of %s does not answer", group.primary(), group.id());
+                link.renewSoon();
+            } else if (!suspect && suspected.remove(group.primary())) {
+                LOG.infof("primary %s of %s answers again", group.primary(), group.id());
+                link.renewSoon();
+            }
+        }
+    }
+
+    private static boolean suspect(EndpointPool pool, long nowNanos) {
+        return pool.health().suspect(nowNanos, SUSPECT_SILENCE_NANOS, SUSPECT_FAILING_NANOS);
+    }
+
+    private static MemberTarget target(Group group) {
+        return new MemberTarget(group.primary(), group.id(), group.address());
+    }
+
+    private static MemberTarget target(EndpointMember member) {
+        return new MemberTarget(
+                new EndpointId(member.getEndpointId()),
+                GroupId.parse(member.getGroupId()),
+                new HostPort(member.getHost(), member.getPort()));
+    }
+
+    EndpointPool primary(Group group) {
+        return pool(target(group));
+    }
+
+    EndpointPool member(EndpointMember member) {
+        return pool(target(member));
+    }
+
+    private EndpointPool pool(MemberTarget target) {
+        return pools.computeIfAbsent(
+                target,
+                key -> {
+                    link.renewSoon();
+                    return new EndpointPool(key, connector, this::shareWanted);
+                });
+    }
+
+    private void shareWanted() {
+        long now = EventLoop.nowNanos();
+        if (now - shareWantedNanos > SHARE_WANTED_EVERY_NANOS) {
+            shareWantedNanos = now;
+            link.renewSoon();
+        }
+    }
+
+    FreshnessSamples samples(GroupId group) {
+        return samples.computeIfAbsent(group, key -> new FreshnessSamples());
+    }
+
+    private void directoryChanged() {
+        Set<MemberTarget> known = new HashSet<>();
+        for (Group group : directory.configuration().groups()) {
+            if (group.primary() != null) {
+                known.add(target(group));
+            }
+            directory.members(group.id()).forEach(member -> known.add(target(member)));
+        }
+        List<MemberTarget> gone = new ArrayList<>(pools.keySet());
+        gone.removeAll(known);
+        gone.forEach(target -> pools.remove(target).close());
+        for (MemberTarget target : known) {
+            pool(target);
+        }
+    }
+
+    @Override
+    public void addTo(RenewRequest.Builder request) {
+        long now = EventLoop.nowNanos();
+        for (EndpointPool pool : pools.values()) {
+            request.addConnectionDemands(
+                    ConnectionDemand.newBuilder()
+                            .setEndpointId(pool.target().endpoint().value())
+                            .setGroupId(pool.target().group().toString())
+                            .setWanted(pool.takeDemand() + 1)
+                            .setLimitInForce(pool.limitInForce()));
+        }
+        for (Group group : directory.configuration().groups()) {
+            EndpointPool pool = group.primary() == null ? null : pools.get(target(group));
+            boolean evidence =
+                    pool != null
+                            && (suspect(pool, now)
+                                    || pool.health().answeredSince(now - HEALTHY_NANOS));
+            if (evidence) {
+                request.addHealthReports(
+                        HealthReport.newBuilder()
+                                .setGroupId(group.id().toString())
+                                .setEndpointId(group.primary().value())
+                                .setTerm(group.term())
+                                .setSuspect(suspect(pool, now))
+                                .setSilentMillis(pool.health().silentFor(now) / NANOS_PER_MILLI));
+            }
+        }
+    }
+
+    @Override
+    public void answered(RenewAnswer answer) {
+        Map<String, Integer> limits = new HashMap<>();
+        for (ConnectionShare share : answer.getConnectionSharesList()) {
+            limits.put(share.getGroupId() + "/" + share.getEndpointId(), share.getLimit());
+        }
+        for (EndpointPool pool : List.copyOf(pools.values())) {
+            Integer limit = limits.get(pool.target().group() + "/" + pool.target().endpoint());
+            if (limit != null) {
+                pool.share(limit);
+            }
+        }
+    }
+
+    @Override
+    public void stop() {
+        pools.values().forEach(EndpointPool::close);
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/package-info.java
@@ -0,0 +1,2 @@
+/** How sessions reach endpoints: connections, choice of members, transactions. */
+package org.chivevale.proxy.internal.session;
