--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -127,7 +127,7 @@
         boards.clear();
         long started = System.currentTimeMillis();
         membership = new Membership(state.configuration(), started << 16);
-        rates = new RateOwners(state.configuration(), started << 16);
+        rates = new RateOwners(state.configuration(), started << 16, now);
         seenVersion = state.configuration().version();
         knownEndpoints(now);
     }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
@@ -24,6 +24,7 @@
     private final Configuration configuration;
     private final Map<ClientAccountId, Owned> owners = new HashMap<>();
     private final long firstGrantId;
+    private final long sinceNanos;
 
     private static final class Owned {
         final RateOwner owner;
@@ -35,7 +36,14 @@
         }
     }
 
-    RateOwners(Configuration configuration, long firstGrantId) {
+    /**
+     * Starts to own rates.
+     *
+     * @param sinceNanos when the lead was taken; what an earlier leader granted is not known, so a
+     *     rate fills from nothing from then on
+     */
+    RateOwners(Configuration configuration, long firstGrantId, long sinceNanos) {
+        this.sinceNanos = sinceNanos;
         this.configuration = configuration;
         this.firstGrantId = firstGrantId;
     }
@@ -82,7 +90,7 @@
                             account.burst(),
                             MARGIN_MILLIS * NANOS_PER_MILLI,
                             firstGrantId,
-                            nowNanos);
+                            sinceNanos);
             owners.put(account.id(), new Owned(owner, account));
             return owner;
         }
