--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/AgreedLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/AgreedLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.chivevale.core.settings.HostPort;
 import org.chivevale.wire.proto.RaftMessage;
 
 /**
@@ -64,6 +65,13 @@
      */
     default void receive(RaftMessage message) {}
 
+    /**
+     * Names processes that know who leads, for a member that hears from nobody.
+     *
+     * @param addresses where to ask
+     */
+    default void seeds(List<HostPort> addresses) {}
+
     /** Gives up the lead before the process stops. */
     default void handOver() {}
 
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
@@ -1,7 +1,7 @@
 package org.chivevale.consensus.raft;
 
 import java.util.List;
-import org.chivevale.consensus.store.LogStore;
+import org.chivevale.consensus.store.LogStorage;
 import org.chivevale.wire.proto.Participants;
 import org.chivevale.wire.proto.StoredEntry;
 import org.chivevale.wire.proto.StoredSnapshot;
@@ -16,11 +16,11 @@
     private static final long NO_TERM = -1;
     private static final int BATCH_BYTES = 512 * 1024;
 
-    private final LogStore store;
+    private final LogStorage store;
     private Participants participants;
     private long participantsIndex;
 
-    RaftLog(LogStore store) {
+    RaftLog(LogStorage store) {
         this.store = store;
         findParticipants();
     }
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -9,7 +9,7 @@
 import java.util.function.LongSupplier;
 import org.chivevale.consensus.AgreedLog;
 import org.chivevale.consensus.StateMachine;
-import org.chivevale.consensus.store.LogStore;
+import org.chivevale.consensus.store.LogStorage;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.wire.proto.AppendAnswer;
 import org.chivevale.wire.proto.AppendRequest;
@@ -44,7 +44,7 @@
         LEADER
     }
 
-    private final LogStore store;
+    private final LogStorage store;
     private final RaftLog log;
     private final StateMachine machine;
     private final RaftTransport transport;
@@ -81,7 +81,7 @@
      */
     public RaftNode(
             HostPort address,
-            LogStore store,
+            LogStorage store,
             StateMachine machine,
             RaftTransport transport,
             RaftTiming timing,
@@ -139,11 +139,7 @@
         electionAtNanos = now() + (long) (random.nextDouble() * timing.electionSpreadNanos());
     }
 
-    /**
-     * Names processes that know who leads, for a member that hears from nobody.
-     *
-     * @param addresses where to ask
-     */
+    @Override
     public void seeds(List<HostPort> addresses) {
         seeds.clear();
         seeds.addAll(addresses);
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
@@ -28,7 +28,7 @@
  * when it returns; a snapshot is replaced as a whole, and the log keeps what comes after it; one
  * process at a time uses the folder. Not thread safe.
  */
-public final class LogStore implements AutoCloseable {
+public final class LogStore implements LogStorage {
     private static final String LOG = "log";
     private static final String NEW_LOG = "log.new";
     private static final String SNAPSHOT = "snapshot";
@@ -163,38 +163,22 @@
         return snapshot == null ? 0 : snapshot.getIndex();
     }
 
-    /**
-     * Returns the entries after the snapshot.
-     *
-     * @return in the order of their index
-     */
+    @Override
     public List<StoredEntry> entries() {
         return Collections.unmodifiableList(entries);
     }
 
-    /**
-     * Returns the newest snapshot.
-     *
-     * @return null when there is none
-     */
+    @Override
     public StoredSnapshot snapshot() {
         return snapshot;
     }
 
-    /**
-     * Returns term and vote.
-     *
-     * @return the last saved
-     */
+    @Override
     public HardState hardState() {
         return hardState;
     }
 
-    /**
-     * Appends entries; an index that is there already replaces it and everything after it.
-     *
-     * @param added entries in the order of their index
-     */
+    @Override
     public void append(List<StoredEntry> added) {
         if (added.isEmpty()) {
             return;
@@ -203,11 +187,7 @@
         added.forEach(this::keep);
     }
 
-    /**
-     * Takes the identity that the first folders of a deployment share.
-     *
-     * @param storeId the identity
-     */
+    @Override
     public void adoptIdentity(String storeId) {
         HardState adopted = hardState.toBuilder().setStoreId(storeId).build();
         write(StoredRecord.newBuilder().setHardState(adopted).build());
@@ -218,11 +198,7 @@
         file.append(record.toByteArray());
     }
 
-    /**
-     * Saves term and vote.
-     *
-     * @param state the new ones; the store's id is kept
-     */
+    @Override
     public void saveHardState(HardState state) {
         HardState.Builder kept = state.toBuilder();
         if (!hardState.getStoreId().isEmpty()) {
@@ -233,11 +209,7 @@
         hardState = saved;
     }
 
-    /**
-     * Replaces the snapshot and drops the entries that it covers.
-     *
-     * @param newSnapshot the state up to its index
-     */
+    @Override
     public void saveSnapshot(StoredSnapshot newSnapshot) {
         try {
             byte[] body = newSnapshot.toByteArray();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlKernel.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlKernel.java
@@ -1,5 +1,6 @@
 package org.chivevale.control;
 
+import java.nio.file.Path;
 import org.chivevale.control.deployment.DeploymentService;
 import org.chivevale.control.internal.failover.FailoverService;
 import org.chivevale.control.internal.fleet.FleetService;
@@ -9,6 +10,7 @@
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
+import org.chivevale.process.SettingsWatch;
 
 /**
  * Registers the services that every control process has, whatever its callers speak.
@@ -22,16 +24,26 @@
      * Registers the services.
      *
      * @param settings the process's settings
+     * @param settingsFile where they were read, for later changes
      * @param connectors opens connections to members of groups
      * @param policy decides failovers
      * @return a kernel to which services for callers are added
      */
     public static Kernel create(
-            ControlSettings settings, MemberConnectors connectors, FailoverPolicy policy) {
+            ControlSettings settings,
+            Path settingsFile,
+            MemberConnectors connectors,
+            FailoverPolicy policy) {
+        LogService log = new LogService(settings);
         return new Kernel()
                 .register(EventLoop.NAME, new EventLoop())
                 .register(Metrics.NAME, new Metrics())
-                .register(LogService.NAME, new LogService(settings), EventLoop.NAME)
+                .register(LogService.NAME, log, EventLoop.NAME)
+                .register(
+                        SettingsWatch.NAME,
+                        new SettingsWatch(
+                                settingsFile, changed -> log.reseed(ControlSettings.read(changed))),
+                        LogService.NAME)
                 .register(
                         FleetService.NAME,
                         new FleetService(settings),
--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlMain.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlMain.java
@@ -40,6 +40,7 @@
                         LOGIN_ROLE, settings.databasePassword(), CONNECT_TIMEOUT_MILLIS);
         return ControlKernel.create(
                         settings,
+                        settingsFile,
                         loop -> DatabaseConnectors.postgres(loop.vertx(), options),
                         new FailoverPolicy(PROMOTION_PATIENCE_MILLIS, HAND_OVER_PATIENCE_MILLIS))
                 .register(
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -118,6 +118,17 @@
         return node;
     }
 
+    /**
+     * Takes other seeds, as after a change of the settings.
+     *
+     * @param changed the settings that now hold
+     */
+    public void reseed(ControlSettings changed) {
+        if (changed.replication() != null) {
+            log.seeds(changed.replication().seeds());
+        }
+    }
+
     private static RaftTiming timing(ControlSettings.Replication replication) {
         return new RaftTiming(
                 HEARTBEAT_MILLIS,
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/consensus/MemoryStorage.java
@@ -0,0 +1,71 @@
+package org.chivevale.consensus;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.chivevale.consensus.store.LogStorage;
+import org.chivevale.wire.proto.HardState;
+import org.chivevale.wire.proto.StoredEntry;
+import org.chivevale.wire.proto.StoredSnapshot;
+
+/** Storage that survives a restart of its member, but not a wipe. */
+final class MemoryStorage implements LogStorage {
+    private final List<StoredEntry> entries = new ArrayList<>();
+    private StoredSnapshot snapshot;
+    private HardState hardState;
+
+    MemoryStorage(String storeId) {
+        hardState = HardState.newBuilder().setStoreId(storeId).build();
+    }
+
+    @Override
+    public List<StoredEntry> entries() {
+        return Collections.unmodifiableList(entries);
+    }
+
+    @Override
+    public StoredSnapshot snapshot() {
+        return snapshot;
+    }
+
+    @Override
+    public HardState hardState() {
+        return hardState;
+    }
+
+    @Override
+    public void append(List<StoredEntry> added) {
+        for (StoredEntry entry : added) {
+            entries.removeIf(kept -> kept.getIndex() >= entry.getIndex());
+            entries.add(entry);
+        }
+    }
+
+    @Override
+    public void saveHardState(HardState state) {
+        hardState = state.toBuilder().setStoreId(hardState.getStoreId()).build();
+    }
+
+    @Override
+    public void adoptIdentity(String storeId) {
+        hardState = hardState.toBuilder().setStoreId(storeId).build();
+    }
+
+    @Override
+    public void saveSnapshot(StoredSnapshot saved) {
+        boolean continues =
+                entries.stream()
+                        .anyMatch(
+                                entry ->
+                                        entry.getIndex() == saved.getIndex()
+                                                && entry.getTerm() == saved.getTerm());
+        if (!continues) {
+            entries.clear();
+        }
+        entries.removeIf(entry -> entry.getIndex() <= saved.getIndex());
+        snapshot = saved;
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -0,0 +1,128 @@
+package org.chivevale.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.chivevale.consensus.RaftSimulation.Member;
+
+/** What the replicated log promises, on thousands of schedules of faults. */
+class RaftProperties {
+    private static final int DISKS_THAT_MAY_BE_LOST = 2;
+
+    private static RaftSimulation formed(long seed) {
+        RaftSimulation simulation = new RaftSimulation(seed);
+        simulation.add(5);
+        simulation.members.forEach(member -> member.start(true));
+        simulation.run(4_000);
+        return simulation;
+    }
+
+    @Example
+    void threeSeedsFormAndTheOthersBecomeVoters() {
+        RaftSimulation simulation = formed(1);
+        Member leader = simulation.leader();
+        assertNotNull(leader);
+        assertEquals(5, leader.node.members().size());
+    }
+
+    @Property(tries = 400)
+    void nothingAcknowledgedIsLostUnderKillsCutsAndFreezes(@ForAll long seed) {
+        RaftSimulation simulation = formed(seed);
+        simulation.lossShare = simulation.random.nextDouble() * 0.1;
+        simulation.repeatShare = 0.05;
+        for (int step = 0; step < 25; step++) {
+            disturb(simulation);
+            for (int i = 0; i < 3; i++) {
+                simulation.propose();
+                simulation.run(40 + simulation.random.nextInt(300));
+            }
+        }
+        simulation.settleAndCheck();
+    }
+
+    private static void disturb(RaftSimulation simulation) {
+        Member victim = simulation.members.get(simulation.random.nextInt(5));
+        switch (simulation.random.nextInt(8)) {
+            case 0 -> victim.kill();
+            case 1 -> restart(simulation);
+            case 2 ->
+                    victim.frozenUntilNanos =
+                            simulation.nowNanos
+                                    + simulation.random.nextInt(3_000) * RaftSimulation.MILLI;
+            case 3 -> simulation.cutOff(victim);
+            case 4 -> simulation.heal();
+            case 5 -> simulation.cut(victim, simulation.members.get(simulation.random.nextInt(5)));
+            case 6 -> {
+                if (victim.runs()) {
+                    victim.node.handOver();
+                }
+            }
+            default ->
+                    simulation.members.forEach(
+                            member -> {
+                                if (member.node != null) {
+                                    member.kill();
+                                    member.start(false);
+                                }
+                            });
+        }
+    }
+
+    private static void restart(RaftSimulation simulation) {
+        simulation.members.stream()
+                .filter(member -> member.node == null)
+                .findFirst()
+                .ifPresent(member -> member.start(false));
+    }
+
+    @Property(tries = 300)
+    void nothingAcknowledgedIsLostWhenTwoDisksAreLostAndTheOthersLosePower(@ForAll long seed) {
+        RaftSimulation simulation = formed(seed);
+        for (int round = 0; round < 3; round++) {
+            int acknowledged = simulation.acknowledged.size();
+            for (int i = 0; i < 4; i++) {
+                simulation.propose();
+                simulation.run(simulation.random.nextInt(60));
+            }
+            List<Member> order = new ArrayList<>(simulation.members);
+            Collections.shuffle(order, simulation.random);
+            order.forEach(Member::kill);
+            order.subList(0, DISKS_THAT_MAY_BE_LOST).forEach(Member::wipe);
+            simulation.run(simulation.random.nextInt(1_500));
+            order.forEach(member -> member.start(false));
+            simulation.settleAndCheck();
+            assertTrue(simulation.acknowledged.size() > acknowledged);
+        }
+    }
+
+    @Property(tries = 100)
+    void aNewcomerTakesThePlaceOfAMemberThatIsGoneForGood(@ForAll long seed) {
+        RaftSimulation simulation = formed(seed);
+        Member gone = simulation.members.get(simulation.random.nextInt(5));
+        gone.kill();
+        simulation.add(1);
+        Member newcomer = simulation.members.get(5);
+        simulation.run(200);
+        newcomer.start(false);
+        simulation.run(4_000);
+        Member leader = simulation.leader();
+        assertNotNull(leader);
+        assertTrue(leader.node.members().contains(newcomer.address.toString()));
+        assertEquals(5, leader.node.members().size());
+    }
+
+    @Property(tries = 100)
+    void anotherLeaderIsFoundWithinTwoSecondsOfALoss(@ForAll long seed) {
+        RaftSimulation simulation = formed(seed);
+        simulation.leader().kill();
+        simulation.run(2_000);
+        assertNotNull(simulation.leader());
+    }
+}
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -0,0 +1,270 @@
+package org.chivevale.consensus;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.chivevale.consensus.raft.RaftNode;
+import org.chivevale.consensus.raft.RaftTiming;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.wire.proto.RaftMessage;
+
+/**
+ * Members of a log on a simulated network: messages are lost, delayed, repeated and overtaken;
+ * members are killed, wiped, frozen and cut off. Every step is checked against the promises.
+ */
+final class RaftSimulation {
+    static final long MILLI = 1_000_000;
+    private static final int SNAPSHOT_EVERY = 15;
+    static final RaftTiming TIMING = new RaftTiming(120, 600, 1000, 100, 1500, 5);
+
+    final Random random;
+    final List<Member> members = new ArrayList<>();
+    final List<String> acknowledged = new ArrayList<>();
+    private final Map<Long, String> agreed = new TreeMap<>();
+    private final PriorityQueue<Delivery> network = new PriorityQueue<>();
+    private final Set<String> cutLinks = new HashSet<>();
+    private final Map<Long, String> leaders = new HashMap<>();
+    double lossShare;
+    double repeatShare;
+    int maxDelayMillis = 15;
+    long nowNanos = 1_000 * MILLI;
+    private long order;
+    private int proposals;
+    private int folders;
+
+    private record Delivery(long atNanos, long order, HostPort from, HostPort to, RaftMessage what)
+            implements Comparable<Delivery> {
+        @Override
+        public int compareTo(Delivery other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** One member, its disk and what it has applied. */
+    final class Member implements StateMachine {
+        final HostPort address;
+        MemoryStorage storage;
+        RaftNode node;
+        long frozenUntilNanos;
+        boolean leads;
+        final List<String> applied = new ArrayList<>();
+
+        Member(int number) {
+            address = new HostPort("10.0.0." + number, 7000);
+        }
+
+        boolean runs() {
+            return node != null && nowNanos >= frozenUntilNanos;
+        }
+
+        void start(boolean first) {
+            if (storage == null) {
+                storage = new MemoryStorage("store" + ++folders);
+            }
+            applied.clear();
+            leads = false;
+            node =
+                    new RaftNode(
+                            address,
+                            storage,
+                            this,
+                            (to, message) -> carry(address, to, message),
+                            TIMING,
+                            SNAPSHOT_EVERY,
+                            random,
+                            () -> nowNanos);
+            List<HostPort> seeds =
+                    List.of(members.get(0).address, members.get(1).address, members.get(2).address);
+            node.seeds(seeds);
+            if (first) {
+                node.bootstrap(seeds, "first");
+            }
+        }
+
+        void kill() {
+            node = null;
+        }
+
+        void wipe() {
+            node = null;
+            storage = null;
+        }
+
+        @Override
+        public boolean apply(long index, byte[] payload) {
+            String text = new String(payload, StandardCharsets.UTF_8);
+            String before = agreed.putIfAbsent(index, text);
+            if (before != null && !before.equals(text)) {
+                throw new AssertionError("index " + index + " is both " + before + " and " + text);
+            }
+            applied.add(text);
+            return true;
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return String.join("\n", applied).getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public void restore(byte[] state) {
+            applied.clear();
+            String text = new String(state, StandardCharsets.UTF_8);
+            if (!text.isEmpty()) {
+                applied.addAll(List.of(text.split("\n")));
+            }
+        }
+
+        @Override
+        public void leadership(boolean leading, long term) {
+            leads = leading;
+            String other = leading ? leaders.putIfAbsent(term, address.toString()) : null;
+            if (other != null && !other.equals(address.toString())) {
+                throw new AssertionError("term " + term + " has two leaders");
+            }
+        }
+    }
+
+    RaftSimulation(long seed) {
+        random = new Random(seed);
+    }
+
+    void add(int count) {
+        for (int i = 0; i < count; i++) {
+            members.add(new Member(members.size() + 1));
+        }
+    }
+
+    private void carry(HostPort from, HostPort to, RaftMessage message) {
+        if (random.nextDouble() < lossShare) {
+            return;
+        }
+        int copies = random.nextDouble() < repeatShare ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            long delay = MILLI + (long) (random.nextDouble() * maxDelayMillis * MILLI);
+            network.add(new Delivery(nowNanos + delay, order++, from, to, message));
+        }
+    }
+
+    /** Cuts one direction between two members. */
+    void cut(Member from, Member to) {
+        cutLinks.add(from.address + ">" + to.address);
+    }
+
+    void cutOff(Member member) {
+        for (Member other : members) {
+            cut(member, other);
+            cut(other, member);
+        }
+    }
+
+    void heal() {
+        cutLinks.clear();
+    }
+
+    void run(int millis) {
+        long endNanos = nowNanos + millis * MILLI;
+        while (nowNanos < endNanos) {
+            nowNanos += 5 * MILLI;
+            deliver();
+            for (Member member : members) {
+                if (member.runs()) {
+                    member.node.tick();
+                }
+            }
+            checkOneDecides();
+        }
+    }
+
+    private void deliver() {
+        List<Delivery> held = new ArrayList<>();
+        while (!network.isEmpty() && network.peek().atNanos() <= nowNanos) {
+            Delivery next = network.poll();
+            Member to = member(next.to());
+            if (to == null || to.node == null) {
+                continue;
+            }
+            if (!to.runs()) {
+                held.add(next);
+            } else if (!cutLinks.contains(next.from() + ">" + next.to())) {
+                to.node.receive(next.what());
+            }
+        }
+        network.addAll(held);
+    }
+
+    private Member member(HostPort address) {
+        return members.stream().filter(one -> one.address.equals(address)).findFirst().orElse(null);
+    }
+
+    private void checkOneDecides() {
+        long deciding =
+                members.stream().filter(Member::runs).filter(one -> one.node.leading()).count();
+        if (deciding > 1) {
+            throw new AssertionError("two members decide at once");
+        }
+    }
+
+    Member leader() {
+        return members.stream()
+                .filter(Member::runs)
+                .filter(one -> one.node.leading())
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Proposes a value where it can be; notes it once it is acknowledged. */
+    void propose() {
+        Member leader = leader();
+        if (leader == null) {
+            return;
+        }
+        String value = "v" + ++proposals;
+        leader.node.append(
+                value.getBytes(StandardCharsets.UTF_8),
+                result -> {
+                    if (result == AgreedLog.Result.APPLIED) {
+                        acknowledged.add(value);
+                    }
+                });
+    }
+
+    /** Lets everybody run in peace, and fails unless what was acknowledged is at the leader. */
+    void settleAndCheck() {
+        heal();
+        lossShare = 0;
+        for (Member member : members) {
+            member.frozenUntilNanos = 0;
+            if (member.node == null) {
+                member.start(false);
+            }
+        }
+        run(8_000);
+        Member leader = leader();
+        if (leader == null) {
+            throw new AssertionError("nobody leads after everything was repaired");
+        }
+        for (String value : acknowledged) {
+            if (!leader.applied.contains(value)) {
+                throw new AssertionError("acknowledged " + value + " is lost");
+            }
+        }
+        if (new HashSet<>(leader.applied).size() != leader.applied.size()) {
+            throw new AssertionError("an entry was applied twice");
+        }
+        int before = acknowledged.size();
+        propose();
+        run(1_000);
+        if (acknowledged.size() == before) {
+            throw new AssertionError("nothing can be agreed after everything was repaired");
+        }
+    }
+}
--- a/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
@@ -9,6 +9,7 @@
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.ProcessLifetime;
+import org.jboss.logging.Logger;
 
 /**
  * Common part of the processes' main classes: the command line, the kernel's life, exit codes.
@@ -16,6 +17,7 @@
  * <p>Used by one thread.
  */
 public abstract class Main {
+    private static final Logger LOG = Logger.getLogger(Main.class);
     private static final int BAD_SETTINGS_STATUS = 2;
 
     @AirlineModule private HelpOption<Main> help;
@@ -64,6 +66,12 @@
         System.exit(BAD_SETTINGS_STATUS);
     }
 
+    private static void stop(Kernel kernel) {
+        LOG.info("stopping");
+        kernel.stop();
+        LOG.info("stopped");
+    }
+
     private boolean helpShown() {
         return help.showHelpIfRequested();
     }
@@ -75,6 +83,7 @@
             return;
         }
         kernel.start();
-        ProcessLifetime.runUntilStopped(kernel::stop);
+        LOG.infof("started %s with %s", getClass().getSimpleName(), settingsFile);
+        ProcessLifetime.runUntilStopped(() -> stop(kernel));
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
@@ -1,10 +1,12 @@
 package org.chivevale.proxy;
 
+import java.nio.file.Path;
 import java.util.function.Function;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.database.session.SessionConnector;
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
+import org.chivevale.process.SettingsWatch;
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.rate.RateGate;
@@ -23,21 +25,27 @@
      * Registers the services.
      *
      * @param settings the process's settings
+     * @param settingsFile where they were read, for later changes
      * @param connectors opens connections to endpoints
      * @return a kernel to which services for callers are added
      */
     public static Kernel create(
-            ProxySettings settings, Function<EventLoop, SessionConnector> connectors) {
+            ProxySettings settings,
+            Path settingsFile,
+            Function<EventLoop, SessionConnector> connectors) {
         Directory directory = new Directory(settings);
+        ControlLink link = new ControlLink(settings, directory);
         SessionPools pools = new SessionPools(directory, connectors);
         return new Kernel()
                 .register(EventLoop.NAME, new EventLoop())
                 .register(Metrics.NAME, new Metrics())
+                .register(ControlLink.NAME, link, EventLoop.NAME, Metrics.NAME)
                 .register(
-                        ControlLink.NAME,
-                        new ControlLink(settings, directory),
-                        EventLoop.NAME,
-                        Metrics.NAME)
+                        SettingsWatch.NAME,
+                        new SettingsWatch(
+                                settingsFile,
+                                changed -> link.seeds(ProxySettings.read(changed).control())),
+                        ControlLink.NAME)
                 .register(SessionPools.NAME, pools, ControlLink.NAME)
                 .register(RateGate.NAME, new RateGate(settings), ControlLink.NAME)
                 .register(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -85,6 +85,15 @@
         parts.add(part);
     }
 
+    /**
+     * Takes other addresses of control, as after a change of the settings.
+     *
+     * @param changed where control may be
+     */
+    public void seeds(List<HostPort> changed) {
+        addresses.seeds(changed);
+    }
+
     /**
      * Returns what tells this process from an earlier one of the same name.
      *
