--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
@@ -21,6 +21,7 @@
     private static final EndpointId C = new EndpointId("c");
     private static final List<EndpointId> ALL = List.of(A, B, C);
     private static final int NEEDED = 2;
+    private static final int MEMBERS = 3;
 
     private final FailoverPolicy policy = new FailoverPolicy(3000, 1500);
 
@@ -47,6 +48,7 @@
                 false,
                 fenceInForce,
                 NEEDED,
+                MEMBERS,
                 positions,
                 collectingForMillis,
                 null,
