--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/interactive/AttemptPolicyTest.java
@@ -0,0 +1,109 @@
+package org.chivevale.core.interactive;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumSet;
+import java.util.Set;
+import org.chivevale.core.interactive.AttemptPolicy.Decision;
+import org.chivevale.core.interactive.AttemptPolicy.Step;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Every cell of the table of promises. */
+class AttemptPolicyTest {
+    private static final Set<Effect> KEPT_WHEN_RUN = EnumSet.of(Effect.SINGLE_WRITE, Effect.COMMIT);
+
+    @ParameterizedTest
+    @CsvSource({
+        "SINGLE_READ,     SUCCESS, DELIVER, , true",
+        "SINGLE_READ,     BUSY, ELSEWHERE, BUSY, true",
+        "SINGLE_READ,     UNKNOWN_PREPARED, PREPARE, UNKNOWN_PREPARED, true",
+        "SINGLE_READ,     BEHIND, ELSEWHERE, BEHIND, true",
+        "SINGLE_READ,     NOT_PRIMARY, ELSEWHERE, NOT_PRIMARY, true",
+        "SINGLE_READ,     OTHER_ENDPOINT, ELSEWHERE, ABORTED, false",
+        "SINGLE_READ,     CONNECTIONS_EXHAUSTED, ELSEWHERE, ABORTED, false",
+        "SINGLE_READ,     UNREACHABLE, ELSEWHERE, ABORTED, false",
+        "SINGLE_READ,     REFUSED, FAIL, ABORTED, false",
+        "SINGLE_READ,     FAILED, ELSEWHERE, FAILED, true",
+        "SINGLE_READ,     TIMED_OUT, ELSEWHERE, TIMED_OUT, true",
+        "SINGLE_READ,     LOST, ELSEWHERE, ABORTED, false",
+        "SINGLE_WRITE,    SUCCESS, DELIVER, , true",
+        "SINGLE_WRITE,    BUSY, ELSEWHERE, BUSY, true",
+        "SINGLE_WRITE,    UNKNOWN_PREPARED, PREPARE, UNKNOWN_PREPARED, true",
+        "SINGLE_WRITE,    BEHIND, ELSEWHERE, BEHIND, true",
+        "SINGLE_WRITE,    NOT_PRIMARY, ELSEWHERE, NOT_PRIMARY, true",
+        "SINGLE_WRITE,    OTHER_ENDPOINT, ELSEWHERE, ABORTED, false",
+        "SINGLE_WRITE,    CONNECTIONS_EXHAUSTED, ELSEWHERE, ABORTED, false",
+        "SINGLE_WRITE,    UNREACHABLE, ELSEWHERE, ABORTED, false",
+        "SINGLE_WRITE,    REFUSED, FAIL, ABORTED, false",
+        "SINGLE_WRITE,    FAILED, FAIL, FAILED, true",
+        "SINGLE_WRITE,    TIMED_OUT, FAIL, TIMED_OUT, true",
+        "SINGLE_WRITE,    LOST, FAIL, IN_DOUBT, false",
+        "BEGIN,           SUCCESS, DELIVER, , true",
+        "BEGIN,           BUSY, ELSEWHERE, BUSY, true",
+        "BEGIN,           BEHIND, ELSEWHERE, BEHIND, true",
+        "BEGIN,           NOT_PRIMARY, ELSEWHERE, NOT_PRIMARY, true",
+        "BEGIN,           UNREACHABLE, ELSEWHERE, ABORTED, false",
+        "BEGIN,           LOST, ELSEWHERE, ABORTED, false",
+        "IN_TRANSACTION,  SUCCESS, DELIVER, , true",
+        "IN_TRANSACTION,  BUSY, AGAIN, BUSY, true",
+        "IN_TRANSACTION,  UNKNOWN_PREPARED, PREPARE, UNKNOWN_PREPARED, true",
+        "IN_TRANSACTION,  BEHIND, FAIL, BEHIND, true",
+        "IN_TRANSACTION,  NOT_PRIMARY, FAIL, NOT_PRIMARY, true",
+        "IN_TRANSACTION,  UNREACHABLE, FAIL, ABORTED, false",
+        "IN_TRANSACTION,  REFUSED, FAIL, ABORTED, false",
+        "IN_TRANSACTION,  FAILED, FAIL, FAILED, true",
+        "IN_TRANSACTION,  TIMED_OUT, FAIL, TIMED_OUT, true",
+        "IN_TRANSACTION,  LOST, FAIL, ABORTED, false",
+        "COMMIT,          SUCCESS, DELIVER, , true",
+        "COMMIT,          BUSY, AGAIN, BUSY, true",
+        "COMMIT,          NOT_PRIMARY, FAIL, NOT_PRIMARY, false",
+        "COMMIT,          UNREACHABLE, FAIL, ABORTED, false",
+        "COMMIT,          REFUSED, FAIL, ABORTED, false",
+        "COMMIT,          FAILED, FAIL, FAILED, true",
+        "COMMIT,          TIMED_OUT, FAIL, TIMED_OUT, true",
+        "COMMIT,          LOST, FAIL, IN_DOUBT, false",
+        "COMMIT_OF_READS, SUCCESS, DELIVER, , true",
+        "COMMIT_OF_READS, BUSY, AGAIN, BUSY, true",
+        "COMMIT_OF_READS, LOST, FAIL, ABORTED, false",
+    })
+    void eachReplyHasItsConsequence(
+            Effect effect, Reply reply, Step step, SessionError error, boolean keep) {
+        assertEquals(new Decision(step, error, keep), AttemptPolicy.decide(effect, reply));
+    }
+
+    @Test
+    void whatMayHaveRunAndCanBeKeptIsNeverTriedAgainNorCalledNotKept() {
+        for (Effect effect : KEPT_WHEN_RUN) {
+            for (Reply reply : Reply.values()) {
+                Decision decision = AttemptPolicy.decide(effect, reply);
+                if (reply.mayHaveRun() && reply != Reply.SUCCESS) {
+                    assertEquals(Step.FAIL, decision.step(), effect + " " + reply);
+                    assertFalse(decision.error().nothingKept(), effect + " " + reply);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aStatementOfATransactionNeverMovesToAnotherConnection() {
+        for (Effect effect :
+                EnumSet.of(Effect.IN_TRANSACTION, Effect.COMMIT, Effect.COMMIT_OF_READS)) {
+            for (Reply reply : Reply.values()) {
+                assertNotEquals(Step.ELSEWHERE, AttemptPolicy.decide(effect, reply).step());
+            }
+        }
+    }
+
+    @Test
+    void aConnectionWithoutAWholeAnswerIsClosed() {
+        for (Effect effect : Effect.values()) {
+            assertFalse(AttemptPolicy.decide(effect, Reply.LOST).keepConnection());
+            assertTrue(AttemptPolicy.decide(effect, Reply.SUCCESS).keepConnection());
+        }
+    }
+}
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/route/FreshnessSamplesProperties.java
@@ -0,0 +1,56 @@
+package org.chivevale.core.route;
+
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.chivevale.core.group.TermPosition;
+
+/** A replica that holds the required position lacks nothing older than the staleness bound. */
+class FreshnessSamplesProperties {
+    private static final long MILLI = 1_000_000;
+
+    private record Commit(long acknowledgedNanos, TermPosition position) {}
+
+    @Property(tries = 500)
+    void theRequiredPositionCoversEveryCommitOlderThanTheBound(@ForAll long seed) {
+        Random random = new Random(seed);
+        FreshnessSamples samples = new FreshnessSamples();
+        List<Commit> commits = new ArrayList<>();
+        long now = 0;
+        long number = 0;
+        for (int step = 0; step < 300; step++) {
+            now += random.nextInt(60) * MILLI;
+            if (random.nextInt(3) == 0) {
+                number++;
+                commits.add(new Commit(now, new TermPosition(1, number)));
+            }
+            if (random.nextInt(4) == 0) {
+                long answeredWith = number;
+                samples.add(now - random.nextInt(20) * MILLI, new TermPosition(1, answeredWith));
+            }
+            long bound = (100 + random.nextInt(2_000)) * MILLI;
+            TermPosition required = samples.required(now, bound);
+            long asOf = now;
+            if (required != null) {
+                assertTrue(
+                        commits.stream()
+                                .filter(one -> one.acknowledgedNanos() < asOf - bound)
+                                .allMatch(one -> one.position().compareTo(required) <= 0));
+            }
+        }
+    }
+
+    @Example
+    void withoutARecentSampleNoReplicaWillDo() {
+        FreshnessSamples samples = new FreshnessSamples();
+        assertNull(samples.required(0, 1_000 * MILLI));
+        samples.add(0, new TermPosition(1, 1));
+        assertNull(samples.required(1_500 * MILLI, 1_000 * MILLI));
+    }
+}
--- /dev/null
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/route/MemberChoiceTest.java
@@ -0,0 +1,65 @@
+package org.chivevale.core.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Plays loads on three members and looks at where reads go. */
+class MemberChoiceTest {
+    private static final int CONNECTIONS = 3;
+
+    private static MemberView view(
+            boolean primary, int distance, int waiting, double millis, boolean avoided) {
+        return new MemberView(primary, distance, waiting, CONNECTIONS, millis, true, avoided);
+    }
+
+    @Test
+    void nobodyIsChosenWhereNobodyIs() {
+        assertEquals(MemberChoice.NONE, MemberChoice.choose(List.of()));
+    }
+
+    @Test
+    void aNearReplicaGoesBeforeAFarOne() {
+        assertEquals(
+                1,
+                MemberChoice.choose(
+                        List.of(view(false, 2, 0, 20, false), view(false, 0, 0, 20, false))));
+    }
+
+    @Test
+    void aMemberThatFailsIsLeftAloneButUsedWhenNothingElseIsLeft() {
+        MemberView failing = view(false, 0, 0, 20, true);
+        assertEquals(1, MemberChoice.choose(List.of(failing, view(false, 2, 0, 20, false))));
+        assertEquals(0, MemberChoice.choose(List.of(failing)));
+    }
+
+    @Test
+    void aBurstSpreadsOverAllMembersAndKeepsRoomAtThePrimary() {
+        int[] waiting = new int[3];
+        for (int i = 0; i < 60; i++) {
+            List<MemberView> views = new ArrayList<>();
+            views.add(view(true, 2, waiting[0], 20, false));
+            views.add(view(false, 0, waiting[1], 20, false));
+            views.add(view(false, 2, waiting[2], 20, false));
+            waiting[MemberChoice.choose(views)]++;
+        }
+        assertTrue(waiting[1] > waiting[2] && waiting[2] > waiting[0], "near first");
+        assertTrue(waiting[0] > 0 && waiting[2] > 0, "nobody idles in a burst");
+    }
+
+    @Test
+    void aSlowMemberGetsLessThanAQuickOne() {
+        int[] waiting = new int[2];
+        for (int i = 0; i < 40; i++) {
+            waiting[
+                    MemberChoice.choose(
+                            List.of(
+                                    view(false, 0, waiting[0], 100, false),
+                                    view(false, 0, waiting[1], 20, false)))]++;
+        }
+        assertTrue(waiting[1] > 3 * waiting[0]);
+    }
+}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
@@ -8,6 +8,7 @@
 import org.chivevale.wire.proto.ConfigurationSnapshot;
 import org.chivevale.wire.proto.DatabaseCredentialPut;
 import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.DesiredStored;
 import org.chivevale.wire.proto.GroupState;
 import org.chivevale.wire.proto.KeyPut;
 import org.chivevale.wire.proto.OpenRoutePut;
@@ -45,12 +46,22 @@
         source.openRoutes().forEach(this::write);
         source.routes().forEach(route -> out.addChanges(change(route)));
         out.addChanges(change(source.sessionLimits()));
+        out.addChanges(desired());
         if (!forProxy) {
             writeControlOnly();
         }
         return out.build();
     }
 
+    /** Proxies learn the version only; what the operator sent is kept by control. */
+    private Change desired() {
+        DesiredStored stored = source.desired();
+        if (forProxy) {
+            stored = stored.toBuilder().clearSource().build();
+        }
+        return Change.newBuilder().setDesiredStored(stored).build();
+    }
+
     private void writeControlOnly() {
         for (Map.Entry<String, byte[]> entry : source.credentialHashes().entrySet()) {
             out.addChanges(
@@ -74,9 +85,6 @@
                 .values()
                 .forEach(step -> out.addChanges(Change.newBuilder().setFailoverStep(step)));
         source.endpoints().forEach(put -> out.addChanges(Change.newBuilder().setEndpointPut(put)));
-        if (source.desiredVersion() > 0) {
-            out.addChanges(Change.newBuilder().setDesiredStored(source.desired()));
-        }
         source.plans().forEach(plan -> out.addChanges(Change.newBuilder().setPlanStored(plan)));
     }
 
