--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -437,10 +437,10 @@
     /** Stands for election in the present term, or asks whether it could. */
     void stand(boolean preVote) {
         leader = "";
-        role = preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE;
         if (!preVote) {
             saveTerm(term() + 1, selfText);
         }
+        role = preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE;
     }
 
     /** True while this member may lie within a leader's lease. */
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
@@ -16,7 +16,8 @@
  * <p>Format: four bytes of length, four bytes of CRC-32C over length and payload (both big-endian),
  * the payload. Invariants: a record counts once {@link #append} returns, which is after it was
  * synced; a torn tail is cut when the file is opened; any other damage is an error that names file
- * and offset. After a failed write the file refuses everything. Not thread safe.
+ * and offset. After a failed write the file takes nothing until what was left of it is cut off. Not
+ * thread safe.
  */
 final class RecordFile implements AutoCloseable {
     static final int MAX_RECORD_BYTES = 64 * 1024 * 1024;
@@ -154,14 +155,26 @@
         }
     }
 
+    /** Cuts off what a failed write may have left, so that the file can be used again. */
+    private void recover() {
+        try {
+            channel.truncate(end);
+            channel.force(true);
+            failed = false;
+        } catch (IOException e) {
+            throw new ChivevaleException(
+                    ResultCode.STORE_FAILED,
+                    path + ": an earlier write failed and is not undone: " + e.getMessage());
+        }
+    }
+
     long sizeBytes() {
         return end;
     }
 
     private void requireSound() {
         if (failed) {
-            throw new ChivevaleException(
-                    ResultCode.STORE_FAILED, path + ": an earlier write failed");
+            recover();
         }
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -29,6 +29,7 @@
 import org.chivevale.wire.proto.OperatorPut;
 import org.chivevale.wire.proto.RaftMessage;
 import org.chivevale.wire.proto.SessionSecretPut;
+import org.jboss.logging.Logger;
 
 /**
  * Appends changes to the agreed log, one entry at a time.
@@ -40,6 +41,7 @@
     /** Name in the kernel. */
     public static final String NAME = "log";
 
+    private static final Logger LOG = Logger.getLogger(LogService.class);
     private static final int SECRET_BYTES = 32;
     private static final String ROOT = "root";
     private static final long TICK_MILLIS = 20;
@@ -57,6 +59,7 @@
     private EventLoop loop;
     private FrameTransport transport;
     private boolean appending;
+    private boolean storeFailing;
 
     /** Makes the changes of an entry when its turn has come. */
     public interface ChangeMaker {
@@ -91,7 +94,7 @@
                     writeFirst();
                 });
         if (settings.replication() != null) {
-            loop.every(TICK_MILLIS, log::tick);
+            loop.every(TICK_MILLIS, () -> guarded(log::tick));
         }
     }
 
@@ -139,6 +142,22 @@
                 replication.voters());
     }
 
+    /** A member whose folder cannot be written takes no part until it can. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+            if (storeFailing) {
+                storeFailing = false;
+                LOG.info("data folder can be written again");
+            }
+        } catch (ChivevaleException e) {
+            if (!storeFailing) {
+                LOG.errorf("data folder cannot be written: %s", e.getMessage());
+            }
+            storeFailing = true;
+        }
+    }
+
     private void writeFirst() {
         boolean first = log != null && log.leading() && state.configuration().version() == 0;
         if (first && queue.isEmpty() && !appending) {
@@ -155,7 +174,7 @@
         if (transport != null) {
             transport.heard(MemberId.parse(message.getFrom()).address());
         }
-        log.receive(message);
+        guarded(() -> log.receive(message));
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxyMain.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxyMain.java
@@ -49,7 +49,7 @@
                         EventLoop.NAME,
                         Metrics.NAME)
                 .register(PoolService.NAME, pools, ControlLink.NAME)
-                .register(RateGate.NAME, new RateGate(settings), ControlLink.NAME)
+                .register(RateGate.NAME, new RateGate(settings, directory), ControlLink.NAME)
                 .register(
                         Prober.NAME,
                         new Prober(settings, directory, pools, histories),
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
@@ -47,7 +47,7 @@
                                 changed -> link.seeds(ProxySettings.read(changed).control())),
                         ControlLink.NAME)
                 .register(SessionPools.NAME, pools, ControlLink.NAME)
-                .register(RateGate.NAME, new RateGate(settings), ControlLink.NAME)
+                .register(RateGate.NAME, new RateGate(settings, directory), ControlLink.NAME)
                 .register(
                         SessionService.NAME,
                         new SessionService(settings, directory, pools),
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
@@ -11,15 +11,18 @@
 import java.util.List;
 import java.util.Map;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.Account;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
+import org.chivevale.core.rate.RateFallback;
 import org.chivevale.core.rate.RateShare;
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.ControlLink;
+import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.wire.proto.RateAnswer;
 import org.chivevale.wire.proto.RateGrant;
 import org.chivevale.wire.proto.RateRequest;
@@ -40,9 +43,11 @@
     private static final long RETURN_TICK_MILLIS = 100;
     private static final long LOOKAHEAD_NANOS = 100 * NANOS_PER_MILLI;
     private static final long RETURN_EVERY_NANOS = 100 * NANOS_PER_MILLI;
+    private static final long OUTAGE_NANOS = 150 * NANOS_PER_MILLI;
     private static final int MAX_WAITING = 1000;
 
     private final ProxySettings settings;
+    private final Directory directory;
     private final Map<ClientAccountId, Gate> gates = new HashMap<>();
     private EventLoop loop;
     private ControlLink link;
@@ -50,9 +55,12 @@
     private Counter asked;
     private Counter refused;
     private long returnedNanos;
+    private long unansweredSinceNanos;
+    private boolean unanswered;
 
     private static final class Gate {
         final RateShare share;
+        final RateFallback fallback = new RateFallback();
         final Deque<Waiter> waiters = new ArrayDeque<>();
         long retryAtNanos;
         boolean exhausted;
@@ -69,9 +77,11 @@
      * Creates the gate.
      *
      * @param settings the process's settings
+     * @param directory knows accounts and proxies
      */
-    public RateGate(ProxySettings settings) {
+    public RateGate(ProxySettings settings, Directory directory) {
         this.settings = settings;
+        this.directory = directory;
     }
 
     @Override
@@ -146,10 +156,26 @@
 
     private void tick() {
         long now = EventLoop.nowNanos();
+        if (unanswered && now - unansweredSinceNanos > OUTAGE_NANOS) {
+            gates.forEach((account, gate) -> serveFromFallback(account, gate, now));
+        }
         gates.forEach((account, gate) -> expire(account, gate, now));
         ask();
     }
 
+    /** While nobody answers, waiters are served from a part of this proxy's even share. */
+    private void serveFromFallback(ClientAccountId account, Gate gate, long nowNanos) {
+        Account known = directory.configuration().account(account);
+        if (known == null || !directory.leased(nowNanos)) {
+            return;
+        }
+        int proxies = directory.proxies().size();
+        while (!gate.waiters.isEmpty()
+                && gate.fallback.tryTake(known.ratePerSecond(), proxies, nowNanos)) {
+            gate.waiters.removeFirst().promise().complete();
+        }
+    }
+
     private void expire(ClientAccountId account, Gate gate, long nowNanos) {
         while (!gate.waiters.isEmpty()) {
             Waiter first = gate.waiters.peekFirst();
@@ -180,6 +206,10 @@
             boolean wants = wants(gate, now);
             any |= wants || returning && gate.share.hasClosed(now);
         }
+        if (any && !unanswered) {
+            unanswered = true;
+            unansweredSinceNanos = now;
+        }
         if (!any || !link.canAskRates()) {
             return;
         }
@@ -213,6 +243,10 @@
 
     private void answered(RateAnswer answer, long askedAtNanos) {
         long now = EventLoop.nowNanos();
+        if (answer.getGrantsCount() > 0) {
+            unanswered = false;
+            gates.values().forEach(gate -> gate.fallback.end());
+        }
         for (RateGrant grant : answer.getGrantsList()) {
             ClientAccountId account = new ClientAccountId(grant.getAccountId());
             Gate gate = gates.get(account);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
@@ -343,13 +343,15 @@
                 work.effect() == Effect.SINGLE_READ
                         && nowNanos - sentNanos > SILENT_READ_NANOS
                         && connection.pool().health().silentFor(nowNanos) > SILENT_READ_NANOS;
-        if (timedOut) {
-            gaveUp = true;
-            connection.connection().close();
-        } else if (silentRead) {
-            moving = true;
-            connection.connection().close();
+        if (!timedOut && !silentRead) {
+            return;
+        }
+        gaveUp = timedOut;
+        moving = silentRead && !timedOut;
+        if (connection.pool().health().silentFor(nowNanos) > SILENT_READ_NANOS) {
+            connection.pool().distrustIdleSince(sentNanos);
         }
+        connection.connection().close();
     }
 
     /** Closes the connection, which rolls back what was open on it. */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -241,6 +241,20 @@
         return first;
     }
 
+    /**
+     * Ends idle connections that have rested since a silent one was used; they may be silent too.
+     */
+    void distrustIdleSince(long nanos) {
+        List<PooledConnection> old = new ArrayList<>();
+        for (PooledConnection connection : idle) {
+            if (connection.idleSince() - nanos < 0) {
+                old.add(connection);
+            }
+        }
+        idle.removeAll(old);
+        old.forEach(this::end);
+    }
+
     void tick() {
         serveWaiters();
     }
