--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -103,6 +103,9 @@
      */
     public Future<Void> announce(EndpointAnnouncement announced) {
         Configuration now = log.state().configuration();
+        if (now.desiredVersion() == 0) {
+            throw new ChivevaleException(ResultCode.NOT_LEADER, "no configuration yet");
+        }
         Database database = now.database(announced.database());
         if (database == null) {
             throw new ChivevaleException(
