--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
@@ -1,5 +1,6 @@
 package org.chivevale.consensus.raft;
 
+import com.google.protobuf.ByteString;
 import java.util.List;
 import org.chivevale.consensus.store.LogStorage;
 import org.chivevale.wire.proto.Participants;
@@ -138,7 +139,7 @@
                         .setIndex(index)
                         .setTerm(term(index))
                         .setParticipants(participantsAt(index))
-                        .setState(com.google.protobuf.ByteString.copyFrom(state))
+                        .setState(ByteString.copyFrom(state))
                         .build());
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -5,9 +5,11 @@
 import io.micrometer.core.instrument.Timer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.HostPort;
@@ -40,11 +42,14 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final long ANSWER_TIMEOUT_MILLIS = 600;
     private static final long RETRY_MILLIS = 40;
+    private static final long FENCE_WAIT_NANOS = 250 * NANOS_PER_MILLI;
+    private static final long FENCE_POLL_MILLIS = 5;
 
     private final ProxySettings settings;
     private final Directory directory;
     private final long incarnation = System.currentTimeMillis();
     private final List<RenewalPart> parts = new ArrayList<>();
+    private final List<FencePart> fenceParts = new ArrayList<>();
     private final FrameClient client = new FrameClient(CONNECT_TIMEOUT_MILLIS);
     private EventLoop loop;
     private Timer renewTimer;
@@ -54,6 +59,7 @@
     private final ControlAddresses addresses;
     private long sequence;
     private boolean renewing;
+    private boolean answered;
     private boolean renewAgain;
     private long askedAtNanos;
     private long nextRenewNanos;
@@ -85,6 +91,15 @@
         parts.add(part);
     }
 
+    /**
+     * Adds who may wait for statements before a fence.
+     *
+     * @param part asked on the event loop
+     */
+    public void add(FencePart part) {
+        fenceParts.add(part);
+    }
+
     /**
      * Takes other addresses of control, as after a change of the settings.
      *
@@ -129,7 +144,7 @@
     private void tick() {
         long now = EventLoop.nowNanos();
         noteLease(now);
-        if (renewing && now - askedAtNanos > ANSWER_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
+        if (renewing && !answered && now - askedAtNanos > ANSWER_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
             lostRenewals.increment();
             abandon();
         }
@@ -192,6 +207,7 @@
 
     private void renew(long nowNanos) {
         renewing = true;
+        answered = false;
         renewAgain = false;
         askedAtNanos = nowNanos;
         sequence++;
@@ -236,7 +252,7 @@
         }
         switch (frame.getBodyCase()) {
             case RENEW_ANSWER -> {
-                if (frame.getCorrelationId() == sequence && renewing) {
+                if (frame.getCorrelationId() == sequence && renewing && !answered) {
                     answered(frame.getRenewAnswer());
                 }
             }
@@ -265,9 +281,10 @@
 
     private void answered(RenewAnswer answer) {
         long now = EventLoop.nowNanos();
-        renewing = false;
+        answered = true;
         renewTimer.record(now - askedAtNanos, TimeUnit.NANOSECONDS);
         if (leaving) {
+            renewing = false;
             directory.dropLease();
             left.run();
             return;
@@ -277,6 +294,34 @@
             return;
         }
         addresses.members(answer.getControlAddressesList());
+        applyWhenQuiet(answer, directory.beginFence(answer), now);
+    }
+
+    /**
+     * Puts an answer in force; a fence waits a moment for statements at the primary, since their
+     * answers do not count afterwards.
+     */
+    private void applyWhenQuiet(RenewAnswer answer, Set<GroupId> fenced, long sinceNanos) {
+        long now = EventLoop.nowNanos();
+        boolean wait =
+                now - sinceNanos < FENCE_WAIT_NANOS
+                        && fenced.stream().anyMatch(group -> awaitsPrimary(group, now));
+        if (wait) {
+            loop.vertx()
+                    .setTimer(
+                            FENCE_POLL_MILLIS, timer -> applyWhenQuiet(answer, fenced, sinceNanos));
+            return;
+        }
+        apply(answer);
+    }
+
+    private boolean awaitsPrimary(GroupId group, long nowNanos) {
+        return fenceParts.stream().anyMatch(part -> part.awaitsPrimary(group, nowNanos));
+    }
+
+    private void apply(RenewAnswer answer) {
+        long now = EventLoop.nowNanos();
+        renewing = false;
         long versionBefore = directory.configuration().version();
         directory.renewed(answer, askedAtNanos);
         parts.forEach(part -> part.answered(answer));
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
@@ -11,7 +13,9 @@
 import org.chivevale.core.lease.LeaseHolder;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.proxy.ProxySettings;
+import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.GroupState;
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.ProxyMember;
 import org.chivevale.wire.proto.RenewAnswer;
@@ -30,6 +34,7 @@
     private final Map<String, List<EndpointMember>> endpointsByGroup = new HashMap<>();
     private final Map<String, ProxyMember> proxies = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
+    private final Set<GroupId> fencing = new HashSet<>();
     private long membersVersion;
 
     /**
@@ -57,6 +62,7 @@
      * @param askedAtNanos when the request was sent
      */
     public void renewed(RenewAnswer answer, long askedAtNanos) {
+        fencing.clear();
         long before = configuration.version();
         if (answer.hasSnapshot()) {
             configuration.restore(answer.getSnapshot());
@@ -75,6 +81,35 @@
         }
     }
 
+    /**
+     * Finds the groups whose primary an answer takes away.
+     *
+     * @param answer what a leader has sent
+     * @return the groups; no more statements go to their primaries from now on
+     */
+    public Set<GroupId> beginFence(RenewAnswer answer) {
+        fencing.clear();
+        for (LogEntry entry : answer.getEntriesList()) {
+            for (Change change : entry.getChangesList()) {
+                GroupState state = change.getGroupState();
+                if (change.hasGroupState() && state.getPrimaryEndpointId().isEmpty()) {
+                    fencing.add(GroupId.parse(state.getGroupId()));
+                }
+            }
+        }
+        return Set.copyOf(fencing);
+    }
+
+    /**
+     * Tells whether a group's primary takes no more statements.
+     *
+     * @param group the group
+     * @return true while its fence is being put in force
+     */
+    public boolean fencing(GroupId group) {
+        return fencing.contains(group);
+    }
+
     private void takeMembers(RenewAnswer answer) {
         membersVersion = answer.getMembersVersion();
         endpointsByGroup.clear();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
@@ -6,6 +6,7 @@
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.AttemptPolicy;
 import org.chivevale.core.interactive.AttemptPolicy.Decision;
@@ -28,6 +29,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double WAIT_SHARE = 0.7;
     private static final long SILENT_READ_NANOS = 450 * NANOS_PER_MILLI;
+    private static final long PRIMARY_ANSWERS_NANOS = 200 * NANOS_PER_MILLI;
     private static final long AGAIN_MILLIS = 12;
     private static final int MAX_TRIES = 12;
 
@@ -315,6 +317,14 @@
         return nowNanos - startNanos > (long) (WAIT_SHARE * timeoutNanos);
     }
 
+    /** True while it is open at a group's primary, and the primary answers others. */
+    boolean openAtPrimary(GroupId group, long nowNanos) {
+        return sent
+                && placement.primary()
+                && placement.group().id().equals(group)
+                && placement.pool().health().silentFor(nowNanos) < PRIMARY_ANSWERS_NANOS;
+    }
+
     void tick(long nowNanos) {
         if (finished) {
             return;
@@ -338,6 +348,10 @@
     }
 
     private void watch(long nowNanos) {
+        if (engine.replaced(placement)) {
+            connection.connection().close();
+            return;
+        }
         boolean timedOut = nowNanos - startNanos > timeoutNanos;
         boolean silentRead =
                 work.effect() == Effect.SINGLE_READ
@@ -391,8 +405,4 @@
                 gaveUp && error == SessionError.ABORTED ? SessionError.TIMED_OUT : error;
         end.ended(new Outcome(reply, told, lastDetail, connection, placement, tries));
     }
-
-    long startNanos() {
-        return startNanos;
-    }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -11,7 +11,6 @@
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.Reply;
-import org.chivevale.core.settings.HostPort;
 import org.chivevale.database.MemberTarget;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.database.session.SessionConnector;
@@ -68,10 +67,6 @@
         return health;
     }
 
-    HostPort address() {
-        return target.address();
-    }
-
     /** Asks for a connection; the waiter can be withdrawn until it is ready. */
     Waiter acquire(ClientAccountId account, Consumer<PooledConnection> ready) {
         long now = EventLoop.nowNanos();
@@ -292,10 +287,6 @@
         waiting.forEach(waiter -> waiter.ready().accept(null));
     }
 
-    boolean closed() {
-        return closed;
-    }
-
     TermPosition position() {
         return health.position();
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Placer.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Placer.java
@@ -47,7 +47,7 @@
     /** The primary's place, or null while there is none. */
     Placement primary(Route route) {
         Group group = directory.configuration().group(group(route));
-        return group.primary() == null
+        return group.primary() == null || directory.fencing(group.id())
                 ? null
                 : new Placement(pools.primary(group), group, true, null);
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -6,13 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.chivevale.core.config.Group;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
+import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
-import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement.Prepared;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.process.EventLoop;
+import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
 
 /**
@@ -48,17 +50,10 @@
      * @return the engine
      */
     public static SessionEngine create(
-            EventLoop loop,
-            org.chivevale.proxy.ProxySettings settings,
-            Directory directory,
-            SessionPools pools) {
+            EventLoop loop, ProxySettings settings, Directory directory, SessionPools pools) {
         return new SessionEngine(loop, directory, pools, new Placer(settings, directory, pools));
     }
 
-    Placer placer() {
-        return placer;
-    }
-
     boolean leased() {
         return directory.leased(EventLoop.nowNanos());
     }
@@ -76,6 +71,14 @@
                 now);
     }
 
+    /** True once what was chosen as the primary no longer leads. */
+    boolean replaced(Placement placement) {
+        Group now = directory.configuration().group(placement.group().id());
+        return placement.primary()
+                && (now.term() != placement.group().term()
+                        || !placement.pool().target().endpoint().equals(now.primary()));
+    }
+
     /** Takes what a reply says of positions. */
     void learn(Placement placement, EndpointReply reply, long askedNanos) {
         if (placement.primary() && reply.position() != null && stands(placement)) {
@@ -110,8 +113,15 @@
         open.forEach(attempt -> attempt.tick(now));
     }
 
-    static boolean ran(EndpointReply reply) {
-        return reply.reply() == Reply.SUCCESS;
+    /**
+     * Tells whether statements are open at a primary that answers.
+     *
+     * @param group the group
+     * @param nowNanos the time
+     * @return true when a fence should wait for them
+     */
+    public boolean awaitsPrimary(GroupId group, long nowNanos) {
+        return attempts.stream().anyMatch(attempt -> attempt.openAtPrimary(group, nowNanos));
     }
 
     Placement place(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -20,6 +20,7 @@
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
 import org.chivevale.proxy.ProxySettings;
+import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.rate.RateGate;
 import org.chivevale.proxy.internal.session.SessionCalls;
@@ -79,6 +80,8 @@
         registry = kernel.find(Metrics.NAME, Metrics.class).registry();
         registry.gauge("chivevale.proxy.sessions", this, self -> self.open);
         engine = SessionEngine.create(loop, settings, directory, pools);
+        ControlLink link = kernel.find(ControlLink.NAME, ControlLink.class);
+        loop.runAndWait(() -> link.add(engine::awaitsPrimary));
         loop.every(TICK_MILLIS, this::tick);
     }
 
