--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
@@ -23,7 +23,7 @@
     /** Name in the kernel. */
     public static final String NAME = "failover";
 
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 25;
 
     private final MemberConnectors connectors;
     private final Map<String, GroupWorker> workers = new TreeMap<>();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -51,7 +51,7 @@
     public static final String NAME = "fleet";
 
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 40;
     private static final long SWEEP_MILLIS = 250;
     private static final long REPORT_LIFE_NANOS = 2_500 * NANOS_PER_MILLI;
     private static final int CONNECTIONS_FOR_CONTROL = 2;
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -44,7 +44,7 @@
     private static final Logger LOG = Logger.getLogger(LogService.class);
     private static final int SECRET_BYTES = 32;
     private static final String ROOT = "root";
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 30;
     private static final int HEARTBEAT_MILLIS = 120;
     private static final int ELECTION_MIN_MILLIS = 600;
     private static final int ELECTION_MAX_MILLIS = 1000;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -38,7 +38,7 @@
 
     private static final Logger LOG = Logger.getLogger(ControlLink.class);
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long TICK_MILLIS = 25;
+    private static final long TICK_MILLIS = 40;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final long ANSWER_TIMEOUT_MILLIS = 600;
     private static final long RETRY_MILLIS = 40;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -40,7 +40,7 @@
 
     private static final Logger LOG = Logger.getLogger(SessionPools.class);
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long TICK_MILLIS = 25;
+    private static final long TICK_MILLIS = 40;
     private static final long SHARE_WANTED_EVERY_NANOS = 100 * NANOS_PER_MILLI;
     private static final long SUSPECT_SILENCE_NANOS = 700 * NANOS_PER_MILLI;
     private static final long SUSPECT_FAILING_NANOS = 150 * NANOS_PER_MILLI;
