--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/ConnectionShares.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/ConnectionShares.java
@@ -103,7 +103,7 @@
         }
         int above = Math.max(0, shares.get(proxy).wanted - base);
         if (wantedAbove <= spare) {
-            int idle = (spare - wantedAbove) / Math.max(1, shares.size());
+            int idle = (spare - wantedAbove) / (shares.size() + 1);
             return base + above + idle;
         }
         return base + (int) ((long) spare * above / wantedAbove);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
@@ -39,7 +39,7 @@
     public static final String NAME = "rate-gate";
 
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long WAITING_TICK_MILLIS = 2;
+    private static final long WAITING_TICK_MILLIS = 5;
     private static final long RETURN_TICK_MILLIS = 100;
     private static final long LOOKAHEAD_NANOS = 100 * NANOS_PER_MILLI;
     private static final long RETURN_EVERY_NANOS = 100 * NANOS_PER_MILLI;
@@ -139,6 +139,7 @@
         Promise<Void> promise = Promise.promise();
         gate.waiters.addLast(new Waiter(promise, Math.min(patience, deadlineNanos), deadlineNanos));
         ask();
+        tickWhileWaiting();
         return promise.future();
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -26,8 +26,8 @@
  */
 final class EndpointPool {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long OWN_ACCOUNT_FIRST_NANOS = 60 * NANOS_PER_MILLI;
-    private static final int OWN_ACCOUNT_LOOKAHEAD = 16;
+    private static final long OWN_ACCOUNT_FIRST_NANOS = 250 * NANOS_PER_MILLI;
+    private static final int OWN_ACCOUNT_LOOKAHEAD = 64;
     private static final long CONNECT_AGAIN_NANOS = 50 * NANOS_PER_MILLI;
     private static final int QUEUE_LIMIT = 400;
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -42,6 +42,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 40;
     private static final long SHARE_WANTED_EVERY_NANOS = 100 * NANOS_PER_MILLI;
+    private static final long SHARE_SHORT_EVERY_NANOS = 400 * NANOS_PER_MILLI;
     private static final long SUSPECT_SILENCE_NANOS = 700 * NANOS_PER_MILLI;
     private static final long SUSPECT_FAILING_NANOS = 150 * NANOS_PER_MILLI;
     private static final long HEALTHY_NANOS = 2_000 * NANOS_PER_MILLI;
@@ -80,7 +81,12 @@
     }
 
     private void tick() {
-        pools.values().forEach(EndpointPool::tick);
+        for (EndpointPool pool : List.copyOf(pools.values())) {
+            pool.tick();
+            if (pool.load() > pool.share()) {
+                shareWanted(pool.share() == 0 ? SHARE_WANTED_EVERY_NANOS : SHARE_SHORT_EVERY_NANOS);
+            }
+        }
         noteSuspects();
     }
 
@@ -135,8 +141,12 @@
     }
 
     private void shareWanted() {
+        shareWanted(SHARE_WANTED_EVERY_NANOS);
+    }
+
+    private void shareWanted(long everyNanos) {
         long now = EventLoop.nowNanos();
-        if (now - shareWantedNanos > SHARE_WANTED_EVERY_NANOS) {
+        if (now - shareWantedNanos > everyNanos) {
             shareWantedNanos = now;
             link.renewSoon();
         }
@@ -193,6 +203,7 @@
 
     @Override
     public void answered(RenewAnswer answer) {
+        boolean givesBack = false;
         Map<String, Integer> limits = new HashMap<>();
         for (ConnectionShare share : answer.getConnectionSharesList()) {
             limits.put(share.getGroupId() + "/" + share.getEndpointId(), share.getLimit());
@@ -200,9 +211,13 @@
         for (EndpointPool pool : List.copyOf(pools.values())) {
             Integer limit = limits.get(pool.target().group() + "/" + pool.target().endpoint());
             if (limit != null) {
+                givesBack |= limit < pool.share();
                 pool.share(limit);
             }
         }
+        if (givesBack) {
+            link.renewSoon();
+        }
     }
 
     @Override
