--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
@@ -28,7 +28,7 @@
     private long end;
     private boolean failed;
 
-    private RecordFile(Path path, FileChannel channel) {
+    RecordFile(Path path, FileChannel channel) {
         this.path = path;
         this.channel = channel;
     }
--- /dev/null
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/FullDiskChannel.java
@@ -0,0 +1,114 @@
+package org.chivevale.consensus.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+
+/** A file on a disk that takes only half of what is written once it is full. */
+final class FullDiskChannel extends FileChannel {
+    private final FileChannel file;
+    boolean full;
+
+    FullDiskChannel(FileChannel file) {
+        this.file = file;
+    }
+
+    @Override
+    public int write(ByteBuffer source, long position) throws IOException {
+        if (!full) {
+            return file.write(source, position);
+        }
+        ByteBuffer half = source.duplicate();
+        half.limit(half.position() + half.remaining() / 2);
+        file.write(half, position);
+        throw new IOException("No space left on device");
+    }
+
+    @Override
+    public int read(ByteBuffer target, long position) throws IOException {
+        return file.read(target, position);
+    }
+
+    @Override
+    public FileChannel truncate(long size) throws IOException {
+        file.truncate(size);
+        return this;
+    }
+
+    @Override
+    public void force(boolean metaData) throws IOException {
+        file.force(metaData);
+    }
+
+    @Override
+    public long size() throws IOException {
+        return file.size();
+    }
+
+    @Override
+    public long position() throws IOException {
+        return file.position();
+    }
+
+    @Override
+    public FileChannel position(long newPosition) throws IOException {
+        file.position(newPosition);
+        return this;
+    }
+
+    @Override
+    public int read(ByteBuffer target) throws IOException {
+        return file.read(target);
+    }
+
+    @Override
+    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+        return file.read(targets, offset, length);
+    }
+
+    @Override
+    public int write(ByteBuffer source) throws IOException {
+        return file.write(source);
+    }
+
+    @Override
+    public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
+        return file.write(sources, offset, length);
+    }
+
+    @Override
+    public long transferTo(long position, long count, WritableByteChannel target)
+            throws IOException {
+        return file.transferTo(position, count, target);
+    }
+
+    @Override
+    public long transferFrom(ReadableByteChannel source, long position, long count)
+            throws IOException {
+        return file.transferFrom(source, position, count);
+    }
+
+    @Override
+    public MappedByteBuffer map(MapMode mode, long position, long size) throws IOException {
+        return file.map(mode, position, size);
+    }
+
+    @Override
+    public FileLock lock(long position, long size, boolean shared) throws IOException {
+        return file.lock(position, size, shared);
+    }
+
+    @Override
+    public FileLock tryLock(long position, long size, boolean shared) throws IOException {
+        return file.tryLock(position, size, shared);
+    }
+
+    @Override
+    protected void implCloseChannel() throws IOException {
+        file.close();
+    }
+}
--- /dev/null
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/RecordFileTest.java
@@ -0,0 +1,53 @@
+package org.chivevale.consensus.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ResultCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A disk that fills up loses nothing that was taken, and the file goes on when there is room. */
+class RecordFileTest {
+    @TempDir Path folder;
+
+    private static byte[] record(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void aFullDiskRefusesRecordsAndTakesThemAgainOnceThereIsRoom() throws Exception {
+        Path path = folder.resolve("log");
+        FileChannel plain =
+                FileChannel.open(
+                        path,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE);
+        FullDiskChannel disk = new FullDiskChannel(plain);
+        RecordFile file = new RecordFile(path, disk);
+        file.append(record("first"));
+        disk.full = true;
+        for (int i = 0; i < 3; i++) {
+            ChivevaleException refusal =
+                    assertThrows(
+                            ChivevaleException.class, () -> file.append(record("never taken")));
+            assertEquals(ResultCode.STORE_FAILED, refusal.code());
+        }
+        disk.full = false;
+        file.append(record("second"));
+        file.close();
+        List<byte[]> read = new ArrayList<>();
+        RecordFile.open(path, read).close();
+        assertEquals(
+                List.of("first", "second"),
+                read.stream().map(bytes -> new String(bytes, StandardCharsets.UTF_8)).toList());
+    }
+}
