--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
@@ -28,7 +28,8 @@
 final class Attempt {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double WAIT_SHARE = 0.7;
-    private static final long SILENT_READ_NANOS = 450 * NANOS_PER_MILLI;
+    private static final long SILENT_NANOS = 400 * NANOS_PER_MILLI;
+    private static final int OVERDUE_TIMES = 5;
     private static final long PRIMARY_ANSWERS_NANOS = 200 * NANOS_PER_MILLI;
     private static final long AGAIN_MILLIS = 12;
     private static final int MAX_TRIES = 12;
@@ -255,7 +256,7 @@
             case ELSEWHERE -> {
                 if (late) {
                     giveBack(true);
-                    finish(reply, gaveUp ? SessionError.TIMED_OUT : decision.error());
+                    finish(reply, decision.error());
                 } else {
                     passOver(reply.reply());
                     giveBack(true);
@@ -352,22 +353,31 @@
             connection.connection().close();
             return;
         }
-        boolean timedOut = nowNanos - startNanos > timeoutNanos;
-        boolean silentRead =
-                work.effect() == Effect.SINGLE_READ
-                        && nowNanos - sentNanos > SILENT_READ_NANOS
-                        && connection.pool().health().silentFor(nowNanos) > SILENT_READ_NANOS;
-        if (!timedOut && !silentRead) {
+        gaveUp = nowNanos - startNanos > timeoutNanos;
+        moving = !gaveUp && stuck(nowNanos);
+        if (!gaveUp && !moving) {
             return;
         }
-        gaveUp = timedOut;
-        moving = silentRead && !timedOut;
-        if (connection.pool().health().silentFor(nowNanos) > SILENT_READ_NANOS) {
+        if (connection.pool().health().silentFor(nowNanos) > SILENT_NANOS) {
             connection.pool().distrustIdleSince(sentNanos);
         }
         connection.connection().close();
     }
 
+    /**
+     * True when an answer is long overdue and nothing is kept by closing the connection: a read, or
+     * a transaction whose commit was not sent.
+     */
+    private boolean stuck(long nowNanos) {
+        boolean nothingKept =
+                work.effect() == Effect.SINGLE_READ
+                        || work.effect() == Effect.BEGIN
+                        || work.effect() == Effect.IN_TRANSACTION;
+        long usualNanos = (long) (connection.pool().health().responseMillis() * NANOS_PER_MILLI);
+        long overdueNanos = Math.max(SILENT_NANOS, OVERDUE_TIMES * usualNanos);
+        return nothingKept && nowNanos - sentNanos > overdueNanos;
+    }
+
     /** Closes the connection, which rolls back what was open on it. */
     private void drop() {
         if (connection != null) {
@@ -401,8 +411,6 @@
         if (!hold || error != null && !bound) {
             giveBack(true);
         }
-        SessionError told =
-                gaveUp && error == SessionError.ABORTED ? SessionError.TIMED_OUT : error;
-        end.ended(new Outcome(reply, told, lastDetail, connection, placement, tries));
+        end.ended(new Outcome(reply, error, lastDetail, connection, placement, tries));
     }
 }
