--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -42,6 +43,15 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 25;
     private static final long LEASE_GRACE_NANOS = 2_000 * NANOS_PER_MILLI;
+    private static final Duration[] LATENCY_BUCKETS = {
+        Duration.ofMillis(10),
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(250),
+        Duration.ofMillis(500),
+        Duration.ofMillis(1000),
+        Duration.ofMillis(2000)
+    };
     private static final int LINES_PER_SECOND = 250;
     private static final long POLL_MILLIS = 20;
 
@@ -168,7 +178,7 @@
         Timer.builder("chivevale.proxy.statement")
                 .tag("policy", route.readPolicy().name())
                 .tag("outcome", outcome)
-                .publishPercentileHistogram(false)
+                .serviceLevelObjectives(LATENCY_BUCKETS)
                 .register(registry)
                 .record(result.tookMicros(), TimeUnit.MICROSECONDS);
         decisions.line(
