--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlAddresses.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlAddresses.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.settings.HostPort;
+import org.jboss.logging.Logger;
 
 /**
  * Where control may be: the leader that was named last, the members that it named, the seeds.
@@ -12,6 +13,8 @@
  * <p>Not thread safe.
  */
 final class ControlAddresses {
+    private static final Logger LOG = Logger.getLogger(ControlAddresses.class);
+
     private List<HostPort> seeds;
     private final List<HostPort> members = new ArrayList<>();
     private HostPort leader;
@@ -68,6 +71,7 @@
         try {
             return HostPort.parse(address);
         } catch (ChivevaleException e) {
+            LOG.warnf("control named an address that cannot be used: %s", e.getMessage());
             return null;
         }
     }
