--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -14,7 +14,8 @@
  * One transaction of a session, bound to one connection from its first statement on.
  *
  * <p>Invariants: the route is the one that was in force when it began; no statement runs on another
- * connection; once its connection is closed it can only be ended. Used on the event loop.
+ * connection; once its connection is closed, or its caller was told that nothing is kept, it can
+ * only be rolled back. Used on the event loop.
  */
 public final class OpenTransaction {
     private final SessionEngine engine;
@@ -122,7 +123,9 @@
                                             && outcome.reply() != null
                                             && outcome.reply().transaction()
                                                     == TransactionState.OPEN;
-                            failed = !stillOpen;
+                            boolean promised =
+                                    outcome.error() != null && outcome.error().nothingKept();
+                            failed = !stillOpen || promised;
                             end.accept(outcome);
                         })
                 .start();
