--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -25,6 +25,7 @@
  */
 public final class CallerSession {
     private static final int PIPELINE_LIMIT = 64;
+    private static final String NO_REQUEST = "-";
     private static final ClientAccountId ANONYMOUS = new ClientAccountId("anonymous");
 
     private final SessionService service;
@@ -54,10 +55,11 @@
     public SessionError open(String database, String callerKey) {
         host = database;
         key = callerKey;
-        if (!service.leased()) {
-            return SessionError.BUSY;
+        SessionError refusal = service.leased() ? refusal() : SessionError.BUSY;
+        if (refusal != null) {
+            service.refused(NO_REQUEST, host, key, refusal, "at the session's start");
         }
-        return refusal();
+        return refusal;
     }
 
     private SessionError refusal() {
@@ -106,7 +108,7 @@
 
     private void run(String id, Statement statement) {
         if (statement == null) {
-            fail(SessionError.MALFORMED, "not understood");
+            fail(id, SessionError.MALFORMED, "not understood");
         } else if (transaction != null) {
             inTransaction(id, statement);
         } else {
@@ -115,23 +117,23 @@
     }
 
     private void outside(String id, Statement statement) {
-        if (keepLocally(statement)) {
+        if (keepLocally(id, statement)) {
             return;
         }
         boolean endsNothing =
                 statement instanceof Statement.Commit || statement instanceof Statement.Rollback;
         if (endsNothing) {
-            fail(SessionError.MALFORMED, "no transaction");
+            fail(id, SessionError.MALFORMED, "no transaction");
             return;
         }
         Prepared prepared = prepared(statement);
         if (statement instanceof Statement.Execute && prepared == null) {
-            fail(SessionError.UNKNOWN_PREPARED, "no such prepared statement");
+            fail(id, SessionError.UNKNOWN_PREPARED, "no such prepared statement");
             return;
         }
         SessionError refusal = refusal();
         if (refusal != null) {
-            fail(refusal, "refused by the configuration in force");
+            fail(id, refusal, "refused by the configuration in force");
             return;
         }
         Route route = service.configuration().routeOfHost(host);
@@ -139,9 +141,9 @@
         service.admit(
                 account,
                 route,
-                admitted -> {
-                    if (!admitted) {
-                        fail(SessionError.BUSY, "above the account's rate");
+                refused -> {
+                    if (refused != null) {
+                        fail(id, SessionError.BUSY, refused);
                     } else {
                         begin(id, statement, prepared, route, account);
                     }
@@ -176,7 +178,7 @@
     }
 
     /** Values and names of prepared statements need no endpoint. */
-    private boolean keepLocally(Statement statement) {
+    private boolean keepLocally(String id, Statement statement) {
         boolean known = true;
         if (statement instanceof Statement.SetValue set) {
             state.set(set.name(), set.value());
@@ -193,7 +195,7 @@
         if (known) {
             answer(SessionAnswer.done(transactionState()));
         } else {
-            fail(SessionError.UNKNOWN_PREPARED, "no such prepared statement");
+            fail(id, SessionError.UNKNOWN_PREPARED, "no such prepared statement");
         }
         return true;
     }
@@ -223,8 +225,8 @@
         } else if (statement instanceof Statement.Commit) {
             commit(id);
         } else if (transaction.failed()) {
-            fail(SessionError.MALFORMED, "the transaction has failed");
-        } else if (!keepLocally(statement)) {
+            fail(id, SessionError.MALFORMED, "the transaction has failed");
+        } else if (!keepLocally(id, statement)) {
             inner(id, statement);
         }
     }
@@ -271,6 +273,7 @@
         if (unknown || statement instanceof Statement.Begin) {
             transaction.rollBack();
             fail(
+                    id,
                     unknown ? SessionError.UNKNOWN_PREPARED : SessionError.MALFORMED,
                     unknown ? "no such prepared statement" : "a transaction is open");
             return;
@@ -314,8 +317,8 @@
         }
     }
 
-    private void fail(SessionError error, String detail) {
-        service.refused(host, error);
+    private void fail(String id, SessionError error, String detail) {
+        service.refused(id, host, key, error, detail);
         answer(SessionAnswer.failed(error, detail, transactionState()));
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -12,6 +12,7 @@
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Route;
+import org.chivevale.core.config.StoredKey;
 import org.chivevale.core.interactive.SessionError;
 import org.chivevale.core.interactive.Statement;
 import org.chivevale.core.kernel.Kernel;
@@ -153,18 +154,33 @@
         return engine;
     }
 
-    void admit(ClientAccountId account, Route route, Consumer<Boolean> then) {
+    /** Spends a token of the account's rate; {@code then} gets null, or why there is none. */
+    void admit(ClientAccountId account, Route route, Consumer<String> then) {
         if (configuration().account(account) == null) {
-            then.accept(true);
+            then.accept(null);
             return;
         }
         long deadline = EventLoop.nowNanos() + route.statementTimeoutMillis() * NANOS_PER_MILLI / 2;
-        rates.admit(account, deadline).onComplete(ended -> then.accept(ended.succeeded()));
+        rates.admit(account, deadline)
+                .onComplete(
+                        ended ->
+                                then.accept(ended.succeeded() ? null : ended.cause().getMessage()));
     }
 
-    void refused(String host, SessionError error) {
+    /** Logs a request that never reached an endpoint; the key itself is not logged. */
+    void refused(String id, String host, String key, SessionError error, String detail) {
         registry.counter("chivevale.proxy.session.refused", "error", error.name()).increment();
-        decisions.line(EventLoop.nowNanos(), "session refused: database=%s error=%s", host, error);
+        StoredKey stored = configuration().findOpaque(key);
+        decisions.line(
+                EventLoop.nowNanos(),
+                "refused id=%s database=%s account=%s config=%d leased=%s outcome=%s %s",
+                id,
+                host,
+                stored == null ? "unknown" : stored.account(),
+                configuration().desiredVersion(),
+                leased(),
+                error,
+                detail);
     }
 
     void decided(
