--- /dev/null
+++ b/build/class-list.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Writes deploy/classes.lst anew: the classes of the class data archive that deploy/system.toml makes.
+# It lists what the programs load when they start, and what the tests of the platform's path load.
+# Classes that are missing from the list, or that no longer exist, only cost time at a start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+mvn -q -B -ntp -DskipTests package -pl platform -am
+mvn -q -B -ntp test -pl platform -am -Dtest=PlatformPathTest -Dsurefire.failIfNoSpecifiedTests=false \
+    -DargLine="-XX:+UseSerialGC -XX:DumpLoadedClassList=$work/path.lst" > "$work/test.log"
+
+cat > "$work/proxy.toml" <<END
+id = "p"
+region = "r"
+data_center = "d"
+http_api = false
+control = ["127.0.0.1:1"]
+[platform]
+client_listen = "127.0.0.1:0"
+ready_listen = "127.0.0.1:0"
+metrics_listen = "127.0.0.1:0"
+END
+cat > "$work/control.toml" <<END
+id = "c"
+region = "r"
+data_center = "d"
+operator_api = false
+admin_listen = "127.0.0.1:0"
+wire_listen = "127.0.0.1:0"
+data_folder = "$work/data"
+[replication]
+first = true
+seeds = ["127.0.0.1:1"]
+[platform]
+control_listen = "127.0.0.1:0"
+promote_address = "127.0.0.1:1"
+[platform.regions]
+"d" = "r"
+END
+for role in Proxy Control; do
+    settings=$work/$(echo "$role" | tr '[:upper:]' '[:lower:]').toml
+    java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:DumpLoadedClassList="$work/$role.lst" \
+        -Djna.nounpack=true -Djna.boot.library.path=target/native/com/sun/jna/linux-x86-64 \
+        -cp target/chivevale-platform.jar "org.chivevale.platform.Platform${role}Main" \
+        --settings "$settings" > "$work/$role.log" &
+    program=$!
+    until grep -q '"started ' "$work/$role.log" 2> /dev/null; do
+        kill -0 "$program"
+        sleep 0.1
+    done
+    kill "$program"
+    wait "$program" || true
+done
+grep -hvE 'surefire|junit|opentest4j|jqwik|standin|apiguardian' "$work"/*.lst \
+    | awk '!seen[$0]++' > deploy/classes.lst
+wc -l deploy/classes.lst
--- a/org.chivevale.process/src/main/java/org/chivevale/process/BootClock.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/BootClock.java
@@ -1,9 +1,13 @@
 package org.chivevale.process;
 
-import com.sun.jna.Function;
+import com.sun.jna.FunctionMapper;
+import com.sun.jna.Library;
 import com.sun.jna.Memory;
+import com.sun.jna.Native;
 import com.sun.jna.NativeLibrary;
 import com.sun.jna.Platform;
+import com.sun.jna.Pointer;
+import java.util.Map;
 
 /**
  * A steady clock that goes on while the VM is suspended.
@@ -19,12 +23,17 @@
     private static final ThreadLocal<Memory> BUFFER =
             ThreadLocal.withInitial(() -> new Memory(TIMESPEC_BYTES));
 
-    /** Bound when the clock is first read. */
+    /** Bound to the C library when the clock is first read. */
     private static final class LibC {
-        static final Function CLOCK_GETTIME =
-                NativeLibrary.getInstance("c").getFunction("clock_gettime");
+        static {
+            FunctionMapper names = (library, method) -> "clock_gettime";
+            Map<String, Object> options = Map.of(Library.OPTION_FUNCTION_MAPPER, names);
+            Native.register(LibC.class, NativeLibrary.getInstance("c", options));
+        }
 
         private LibC() {}
+
+        static native int readClock(int clock, Pointer time);
     }
 
     private BootClock() {}
@@ -39,7 +48,7 @@
             return System.nanoTime();
         }
         Memory buffer = BUFFER.get();
-        if (LibC.CLOCK_GETTIME.invokeInt(new Object[] {CLOCK_BOOTTIME, buffer}) != 0) {
+        if (LibC.readClock(CLOCK_BOOTTIME, buffer) != 0) {
             throw new IllegalStateException("CLOCK_BOOTTIME cannot be read");
         }
         return buffer.getLong(0) * NANOS_PER_SECOND + buffer.getLong(Long.BYTES);
