--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -136,7 +136,24 @@
                                 .setParticipants(first)
                                 .build()));
         contactNanos = now() - timing.electionMinNanos();
-        electionAtNanos = now() + (long) (random.nextDouble() * timing.electionSpreadNanos());
+        electionAtNanos = now() + electionSpread();
+    }
+
+    /**
+     * Says since when this process has been running, if that was before the construction.
+     *
+     * <p>What an earlier process of this member acknowledged to a leader lies before that, so the
+     * wait until this member may vote counts from then on.
+     *
+     * @param startNanos a time on the node's clock, not before the end of the earlier process
+     */
+    public void runningSince(long startNanos) {
+        contactNanos = startNanos;
+        electionAtNanos = startNanos + timing.electionMinNanos() + electionSpread();
+    }
+
+    private long electionSpread() {
+        return (long) (random.nextDouble() * timing.electionSpreadNanos());
     }
 
     @Override
@@ -154,8 +171,7 @@
     }
 
     void scheduleElection() {
-        long spread = (long) (random.nextDouble() * timing.electionSpreadNanos());
-        electionAtNanos = now() + timing.electionMinNanos() + spread;
+        electionAtNanos = now() + timing.electionMinNanos() + electionSpread();
     }
 
     @Override
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -53,6 +53,7 @@
     private static final String FIRST_STORE = "first";
 
     private final ControlSettings settings;
+    private final long createdNanos = EventLoop.nowNanos();
     private final ControlState state = new ControlState();
     private final Deque<Pending> queue = new ArrayDeque<>();
     private AgreedLog log;
@@ -114,6 +115,7 @@
                         settings.snapshotEvery(),
                         new Random(),
                         EventLoop::nowNanos);
+        node.runningSince(createdNanos);
         node.seeds(replication.seeds());
         if (replication.first()) {
             node.bootstrap(replication.seeds(), FIRST_STORE);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -32,6 +32,23 @@
         assertEquals(5, leader.node.members().size());
     }
 
+    /**
+     * Each seed kills all members; the time that they were down counts for the old leader's lease.
+     */
+    @Example
+    void afterAllWereDownForLongerThanALeaseALeaderIsFoundAtOnce() {
+        int soon = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            RaftSimulation simulation = formed(seed);
+            simulation.members.forEach(Member::kill);
+            simulation.run(700);
+            simulation.members.forEach(member -> member.start(false));
+            simulation.run(500);
+            soon += simulation.leader() == null ? 0 : 1;
+        }
+        assertTrue(soon >= 90, soon + " of 100");
+    }
+
     @Property(tries = 400, seed = "20261204")
     void nothingAcknowledgedIsLostUnderKillsCutsAndFreezes(@ForAll long seed) {
         RaftSimulation simulation = formed(seed);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -54,6 +54,7 @@
         MemoryStorage storage;
         RaftNode node;
         long frozenUntilNanos;
+        long endedNanos = nowNanos;
         boolean leads;
         final List<String> applied = new ArrayList<>();
 
@@ -81,6 +82,7 @@
                             SNAPSHOT_EVERY,
                             random,
                             () -> nowNanos);
+            node.runningSince(endedNanos);
             List<HostPort> seeds =
                     List.of(members.get(0).address, members.get(1).address, members.get(2).address);
             node.seeds(seeds);
@@ -91,10 +93,12 @@
 
         void kill() {
             node = null;
+            endedNanos = nowNanos;
         }
 
         void wipe() {
             node = null;
+            endedNanos = nowNanos;
             storage = null;
         }
 
