Let early sessions wait for a process's first lease

Now a session's start waits for the process's first lease, at most first_lease_wait_ms (700 ms); a process that has lost its lease refuses at once as before. aSessionThatComesBeforeTheFirstLeaseWaitsForIt got BUSY before.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
@@ -44,6 +44,7 @@
      * @param transactionIdleMillis how long it may wait for its next statement
      * @param probeMillis time between two probes of a primary
      * @param suspectAfterMillis silence after which a primary is suspected
+     * @param firstLeaseWaitMillis how long a session's start waits for the process's first lease
      * @param ratePatienceMillis how long a request waits for its account's rate
      * @param readWaitMillis how long a read waits for a replica to catch up
      * @param primarySurchargeMillis what a read at the primary counts above its expected time
@@ -61,6 +62,7 @@
             int transactionIdleMillis,
             int probeMillis,
             int suspectAfterMillis,
+            int firstLeaseWaitMillis,
             int ratePatienceMillis,
             int readWaitMillis,
             int primarySurchargeMillis,
@@ -152,6 +154,7 @@
                 in.number("timing.transaction_idle_ms", 5000, 10, 10 * MINUTE_MILLIS),
                 in.number("timing.probe_ms", 150, 10, MINUTE_MILLIS),
                 in.number("timing.suspect_after_ms", 700, 50, MINUTE_MILLIS),
+                in.number("timing.first_lease_wait_ms", 700, 0, MINUTE_MILLIS),
                 in.number("timing.rate_patience_ms", 100, 0, MINUTE_MILLIS),
                 in.number("timing.read_wait_ms", 20, 0, MINUTE_MILLIS),
                 in.number("timing.primary_surcharge_ms", 5, 0, MINUTE_MILLIS),
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Route;
@@ -46,20 +47,30 @@
     }
 
     /**
-     * Opens the session.
+     * Opens the session; a process that has just started waits a little for its first lease.
      *
      * @param database the name that the caller gave
      * @param callerKey the caller's key
-     * @return null when the caller may go on
+     * @param opened gets null when the caller may go on, or why not
      */
-    public SessionError open(String database, String callerKey) {
+    public void open(String database, String callerKey, Consumer<SessionError> opened) {
         host = database;
         key = callerKey;
+        working = true;
+        service.whenLeased(() -> greet(opened));
+    }
+
+    private void greet(Consumer<SessionError> opened) {
+        if (ended) {
+            return;
+        }
         SessionError refusal = service.leased() ? refusal() : SessionError.BUSY;
         if (refusal != null) {
             service.refused(NO_REQUEST, host, key, refusal, "at the session's start");
         }
-        return refusal;
+        working = false;
+        opened.accept(refusal);
+        next();
     }
 
     private SessionError refusal() {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -3,7 +3,9 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -65,6 +67,7 @@
     private RateGate rates;
     private SessionEngine engine;
     private MeterRegistry registry;
+    private final Deque<Opening> openings = new ArrayDeque<>();
     private long leasedNanos;
     private boolean everLeased;
     private volatile boolean leaving;
@@ -96,12 +99,15 @@
         loop.every(TICK_MILLIS, this::tick);
     }
 
+    private record Opening(long untilNanos, Runnable action) {}
+
     private void tick() {
         long now = EventLoop.nowNanos();
         if (directory.leased(now)) {
             leasedNanos = now;
             everLeased = true;
         }
+        serveOpenings(now);
         engine.tick();
         long idleNanos =
                 directory.configuration().sessionLimits().transactionIdleMillis() * NANOS_PER_MILLI;
@@ -138,6 +144,23 @@
         return !leaving && fresh && directory.configuration().desiredVersion() > 0;
     }
 
+    /** Runs an action at once, or, before the process's first lease, when that has come. */
+    void whenLeased(Runnable action) {
+        if (everLeased || leased()) {
+            action.run();
+        } else {
+            long waitNanos = settings.timing().firstLeaseWaitMillis() * NANOS_PER_MILLI;
+            openings.addLast(new Opening(EventLoop.nowNanos() + waitNanos, action));
+        }
+    }
+
+    private void serveOpenings(long nowNanos) {
+        while (!openings.isEmpty()
+                && (everLeased || nowNanos - openings.peekFirst().untilNanos() >= 0)) {
+            openings.removeFirst().action().run();
+        }
+    }
+
     boolean leased() {
         return directory.leased(EventLoop.nowNanos());
     }
