--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/log/JsonLogConfigurator.java
@@ -0,0 +1,76 @@
+package org.chivevale.core.log;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Sets up Logback: one JSON line an event on standard output, queued, never blocking.
+ *
+ * <p>Code in place of an XML file, whose parsing takes a fifth of a process's start. A file that
+ * the system property {@code logback.configurationFile} names goes first. Found by Logback as a
+ * service; used once, on one thread.
+ */
+public final class JsonLogConfigurator extends ContextAwareBase implements Configurator {
+    private static final String FILE_PROPERTY = "logback.configurationFile";
+    private static final String LEVEL_PROPERTY = "chivevale.log.level";
+    private static final int QUEUE_EVENTS = 4096;
+    private static final int FLUSH_MILLIS = 500;
+
+    @Override
+    public ExecutionStatus configure(LoggerContext loggers) {
+        if (System.getProperty(FILE_PROPERTY) != null) {
+            return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+        }
+        loggers.getLogger("io.netty").setLevel(Level.WARN);
+        loggers.getLogger("io.netty.util.internal.MacAddressUtil").setLevel(Level.ERROR);
+        loggers.getLogger("io.vertx").setLevel(Level.ERROR);
+        Logger root = loggers.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.toLevel(System.getProperty(LEVEL_PROPERTY), Level.INFO));
+        root.addAppender(queue(loggers));
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    private static AsyncAppender queue(LoggerContext loggers) {
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(loggers);
+        queue.setName("QUEUE");
+        queue.setQueueSize(QUEUE_EVENTS);
+        queue.setNeverBlock(true);
+        queue.setMaxFlushTime(FLUSH_MILLIS);
+        queue.addAppender(standardOutput(loggers));
+        queue.start();
+        return queue;
+    }
+
+    private static ConsoleAppender<ILoggingEvent> standardOutput(LoggerContext loggers) {
+        ConsoleAppender<ILoggingEvent> output = new ConsoleAppender<>();
+        output.setContext(loggers);
+        output.setName("STDOUT");
+        output.setEncoder(json(loggers));
+        output.start();
+        return output;
+    }
+
+    private static JsonEncoder json(LoggerContext loggers) {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(loggers);
+        encoder.setWithSequenceNumber(false);
+        encoder.setWithNanoseconds(false);
+        encoder.setWithThreadName(false);
+        encoder.setWithContext(false);
+        encoder.setWithMDC(false);
+        encoder.setWithArguments(false);
+        encoder.setWithMessage(false);
+        encoder.setWithThrowable(true);
+        encoder.setWithFormattedMessage(true);
+        encoder.start();
+        return encoder;
+    }
+}
--- /dev/null
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/log/package-info.java
@@ -0,0 +1,2 @@
+/** How processes write their logs. */
+package org.chivevale.core.log;
