Close the frame server before saying that it is closed

Cause: the listening socket of a closed server goes away with its event loop, which was not awaited; PlatformPathTest#aSessionThatComesBeforeTheFirstLeaseWaitsForIt failed once with 'Address already in use'.

--- a/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameServer.java
+++ b/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Listens for connections of other processes.
@@ -17,6 +18,8 @@
  * <p>Thread safety: start and close are called by one thread; the listener runs on the I/O thread.
  */
 public final class FrameServer implements AutoCloseable {
+    private static final long STOP_MILLIS = 500;
+
     private final EventLoopGroup loops;
     private final Channel channel;
 
@@ -55,9 +58,10 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Returns once nothing listens any more, so that the port may be used anew. */
     @Override
     public void close() {
         channel.close().syncUninterruptibly();
-        loops.shutdownGracefully();
+        loops.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 }
