--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RatePlay.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RatePlay.java
@@ -32,6 +32,7 @@
     private int nowMillis;
     private int refused;
     private int messages;
+    private int servedAtOnce;
 
     RatePlay(
             long seed,
@@ -45,7 +46,9 @@
         this.requestsPerSecond = requestsPerSecond;
         this.roundTripMillis = roundTripMillis;
         for (int i = 0; i < proxyCount; i++) {
-            proxies.add(new Proxy("p" + i));
+            Proxy proxy = new Proxy("p" + i);
+            proxy.share.sharedBy(burst, proxyCount);
+            proxies.add(proxy);
         }
     }
 
@@ -63,6 +66,7 @@
 
         void request(long now) {
             if (waitingSinceMillis.isEmpty() && share.tryTake(now)) {
+                servedAtOnce++;
                 noteServed();
             } else {
                 waitingSinceMillis.addLast(nowMillis);
@@ -156,6 +160,10 @@
         return servedAtMillis.size();
     }
 
+    int servedAtOnce() {
+        return servedAtOnce;
+    }
+
     int mostServedWithin(int windowMillis) {
         int most = 0;
         int first = 0;
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RatePlayTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RatePlayTest.java
@@ -34,6 +34,14 @@
         assertEquals(0, play.refused());
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void mostRequestsNeedNotWaitForTheOwnerWhereTokensAreAmple(long seed) {
+        RatePlay play = new RatePlay(seed, 9, 95, 95, 45, FAR_MILLIS).run(MILLIS);
+        assertEquals(0, play.refused());
+        assertTrue(play.servedAtOnce() >= 0.6 * play.served(), play.servedAtOnce() + " at once");
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void anAccountAboveItsRateGetsItsRateAndNoMore(long seed) {
--- a/org.chivevale.core/src/main/java/org/chivevale/core/rate/RateShare.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/rate/RateShare.java
@@ -8,11 +8,17 @@
 /**
  * The tokens of one client account that one proxy may spend.
  *
- * <p>Invariant: a token is spent at most once and never after its grant's end. Not thread safe.
+ * <p>Answers two loads: where tokens are ample, one is held ahead so that a request need not wait
+ * for the owner; where many proxies share a small burst, tokens are asked for one by one, since
+ * those held ahead would be missed by the others. Invariant: a token is spent at most once and
+ * never after its grant's end. Not thread safe.
  */
 public final class RateShare {
-    /** Demand below which tokens are asked for one by one; held ones would be missed elsewhere. */
-    private static final double SMALLEST_AHEAD = 1;
+    /** Tokens of the burst for each proxy from which on every proxy may hold one ahead. */
+    private static final double AMPLE_TOKENS_EACH = 4;
+
+    /** Demand below which tokens are asked for one by one where held ones are missed elsewhere. */
+    private static final double SMALLEST_DEMAND_AHEAD = 1;
 
     private static final double DEMAND_WEIGHT = 0.3;
 
@@ -22,6 +28,7 @@
     private long windowStartNanos;
     private int takenInWindow;
     private double demandPerWindow;
+    private double smallestDemandAhead = SMALLEST_DEMAND_AHEAD;
 
     private static final class Held {
         final long id;
@@ -54,6 +61,17 @@
         this.windowStartNanos = nowNanos;
     }
 
+    /**
+     * Says how scarce tokens are.
+     *
+     * @param burst the account's burst over all proxies
+     * @param proxies how many proxies share it
+     */
+    public void sharedBy(double burst, int proxies) {
+        boolean ample = burst >= AMPLE_TOKENS_EACH * proxies;
+        smallestDemandAhead = ample ? 0 : SMALLEST_DEMAND_AHEAD;
+    }
+
     /**
      * Spends a token.
      *
@@ -96,7 +114,7 @@
      */
     public int wanted(int waiting, long nowNanos) {
         roll(nowNanos);
-        int ahead = demandPerWindow < SMALLEST_AHEAD ? 0 : (int) Math.ceil(demandPerWindow);
+        int ahead = demandPerWindow < smallestDemandAhead ? 0 : (int) Math.ceil(demandPerWindow);
         return waiting + Math.max(0, ahead - tokens());
     }
 
@@ -121,7 +139,7 @@
      */
     public boolean low(long nowNanos) {
         roll(nowNanos);
-        return demandPerWindow >= SMALLEST_AHEAD && tokens() * 2 < demandPerWindow;
+        return demandPerWindow >= smallestDemandAhead && tokens() * 2 < demandPerWindow;
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateGate.java
@@ -135,6 +135,7 @@
         if (gate.waiters.size() >= MAX_WAITING) {
             return Future.failedFuture(exceeded(account, gate, now));
         }
+        noteScarcity(account, gate);
         long patience = now + settings.timing().ratePatienceMillis() * NANOS_PER_MILLI;
         Promise<Void> promise = Promise.promise();
         gate.waiters.addLast(new Waiter(promise, Math.min(patience, deadlineNanos), deadlineNanos));
@@ -143,6 +144,13 @@
         return promise.future();
     }
 
+    private void noteScarcity(ClientAccountId account, Gate gate) {
+        Account known = directory.configuration().account(account);
+        if (known != null) {
+            gate.share.sharedBy(known.burst(), Math.max(1, directory.proxies().size()));
+        }
+    }
+
     private ChivevaleException exceeded(ClientAccountId account, Gate gate, long nowNanos) {
         refused.increment();
         long waitMillis = Math.max(1, (gate.retryAtNanos - nowNanos) / NANOS_PER_MILLI);
