--- a/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
@@ -154,9 +154,17 @@
      * @param frozen true to stop, false to continue
      */
     public synchronized void freeze(boolean frozen) {
-        String signal = frozen ? "-STOP" : "-CONT";
+        signal(frozen ? "STOP" : "CONT");
+    }
+
+    /**
+     * Sends it a signal.
+     *
+     * @param name the signal's name, without SIG
+     */
+    public synchronized void signal(String name) {
         try {
-            new ProcessBuilder("kill", signal, String.valueOf(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
--- a/org.chivevale.system.test/src/test/java/org/chivevale/system/FaultProxy.java
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/FaultProxy.java
@@ -1,4 +1,4 @@
-package org.chivevale.system;
+package org.chivevale.load.deployment;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,10 +10,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.chivevale.core.settings.HostPort;
-import org.chivevale.load.deployment.FreePorts;
 
 /** A TCP proxy that injects faults between two processes. Thread safe. */
-final class FaultProxy implements AutoCloseable {
+public final class FaultProxy implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 * 1024;
 
     /** After this the far side of a silent connection notices that the near one has left. */
@@ -48,7 +47,12 @@
         }
     }
 
-    FaultProxy(HostPort target) {
+    /**
+     * Starts to listen at a free port.
+     *
+     * @param target where connections go on to
+     */
+    public FaultProxy(HostPort target) {
         this.target = target;
         this.listen = FreePorts.next();
         try {
@@ -61,12 +65,21 @@
         start(this::accept);
     }
 
-    HostPort address() {
+    /**
+     * Names the address to use in place of the target's.
+     *
+     * @return where it listens
+     */
+    public HostPort address() {
         return listen;
     }
 
-    /** Closes all connections and refuses new ones, or takes them again. */
-    void cut(boolean cut) {
+    /**
+     * Closes all connections and refuses new ones, or takes them again.
+     *
+     * @param cut true to refuse
+     */
+    public void cut(boolean cut) {
         refuseNew = cut;
         if (cut) {
             pairs.forEach(pair -> pair.close(true));
@@ -74,12 +87,16 @@
     }
 
     /** Lets open connections go silent for good; new ones work. */
-    void silenceOpen() {
+    public void silenceOpen() {
         pairs.forEach(pair -> pair.silent = true);
     }
 
-    /** Lets open and new connections be silent, or lets new ones work again. */
-    void silence(boolean silent) {
+    /**
+     * Lets open and new connections be silent, or lets new ones work again.
+     *
+     * @param silent true for silence
+     */
+    public void silence(boolean silent) {
         silentNew = silent;
         if (silent) {
             silenceOpen();
@@ -88,17 +105,31 @@
         }
     }
 
-    void delay(int millis) {
+    /**
+     * Delays what passes.
+     *
+     * @param millis how long, both ways
+     */
+    public void delay(int millis) {
         delayMillis = millis;
     }
 
-    /** Resets each connection once so many more bytes of answers have passed; -1 for never. */
-    void resetAnswersAfter(int bytes) {
+    /**
+     * Resets each connection once so many more bytes of answers have passed.
+     *
+     * @param bytes how many; -1 for never
+     */
+    public void resetAnswersAfter(int bytes) {
         pairs.forEach(pair -> pair.answered = 0);
         resetAnswerAfterBytes = bytes;
     }
 
-    int openConnections() {
+    /**
+     * Counts connections.
+     *
+     * @return those open now
+     */
+    public int openConnections() {
         return pairs.size();
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/system/FaultsTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/system/FaultsTest.java
@@ -15,6 +15,7 @@
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.load.deployment.Deployment;
 import org.chivevale.load.deployment.DeploymentPlan;
+import org.chivevale.load.deployment.FaultProxy;
 import org.chivevale.load.run.LoadPlan;
 import org.chivevale.load.run.LoadReport;
 import org.junit.jupiter.api.AfterAll;
