--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
@@ -59,40 +59,41 @@
                         .withDefaultCommand(HelpCommand.class)
                         .withCommands(
                                 HelpCommand.class,
-                                Commands.NewKey.class,
-                                Commands.Plan.class,
-                                Commands.Confirm.class,
-                                Commands.Status.class,
-                                Commands.ShowConfiguration.class,
-                                Commands.History.class,
-                                Commands.Report.class);
+                                PlanCommands.NewKey.class,
+                                PlanCommands.Plan.class,
+                                PlanCommands.Confirm.class,
+                                ReadCommands.Status.class,
+                                ReadCommands.ShowConfiguration.class,
+                                ReadCommands.History.class,
+                                ReadCommands.Report.class);
         builder.withGroup("account")
                 .withDescription("Client accounts, their rates and databases")
                 .withCommands(
-                        Commands.AccountCreate.class,
-                        Commands.AccountChange.class,
-                        Commands.AccountRemove.class);
+                        AccountCommands.AccountCreate.class,
+                        AccountCommands.AccountChange.class,
+                        AccountCommands.AccountRemove.class);
         builder.withGroup("rate")
                 .withDescription("Rates and bursts of client accounts")
-                .withCommands(Commands.AccountChange.class);
+                .withCommands(AccountCommands.AccountChange.class);
         builder.withGroup("key")
                 .withDescription("Keys of client accounts")
-                .withCommands(Commands.KeyCreate.class, Commands.KeyWithdraw.class);
+                .withCommands(AccountCommands.KeyCreate.class, AccountCommands.KeyWithdraw.class);
         builder.withGroup("database")
                 .withDescription("Databases and their announcement credentials")
                 .withCommands(
-                        Commands.DatabaseCreate.class,
-                        Commands.DatabaseChange.class,
-                        Commands.CredentialReplace.class);
+                        DatabaseCommands.DatabaseCreate.class,
+                        DatabaseCommands.DatabaseChange.class,
+                        DatabaseCommands.CredentialReplace.class);
         builder.withGroup("group")
                 .withDescription("Database groups and their primaries")
-                .withCommands(Commands.HandOver.class, Commands.PromoteWithLoss.class);
+                .withCommands(
+                        DatabaseCommands.HandOver.class, DatabaseCommands.PromoteWithLoss.class);
         builder.withGroup("route")
                 .withDescription("Reads open to everybody")
-                .withCommands(Commands.RouteOpen.class, Commands.RouteClose.class);
+                .withCommands(RouteCommands.RouteOpen.class, RouteCommands.RouteClose.class);
         builder.withGroup("operator")
                 .withDescription("Operators and their roles")
-                .withCommands(Commands.OperatorCreate.class);
+                .withCommands(OperatorCommands.OperatorCreate.class);
         return builder.build();
     }
 
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/IntentCommand.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/IntentCommand.java
@@ -37,4 +37,29 @@
             print("accepted as version " + answer.path("version").asLong());
         }
     }
+
+    static void putNumber(ObjectNode intent, String name, Number value) {
+        if (value instanceof Integer whole) {
+            intent.put(name, whole);
+        } else if (value != null) {
+            intent.put(name, value.doubleValue());
+        }
+    }
+
+    static void putText(ObjectNode intent, String name, String value) {
+        if (value != null) {
+            intent.put(name, value);
+        }
+    }
+
+    static void putList(ObjectNode intent, String name, String commaSeparated) {
+        if (commaSeparated == null) {
+            return;
+        }
+        for (String item : commaSeparated.split(",")) {
+            if (!item.isEmpty()) {
+                intent.withArray(name).add(item);
+            }
+        }
+    }
 }
--- /dev/null
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/RouteCommands.java
@@ -0,0 +1,74 @@
+package org.chivevale.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/**
+ * Commands on reads that are open to everybody.
+ *
+ * <p>Each is used by one thread.
+ */
+final class RouteCommands {
+    private RouteCommands() {}
+
+    /** Open a read to everybody. */
+    @Command(name = "open", description = "Open a read to everybody")
+    public static final class RouteOpen extends IntentCommand {
+        @Arguments(title = "NAME", description = "The route's name in the path")
+        @Required
+        private String name;
+
+        @Option(
+                name = {"--database"},
+                title = "DATABASE",
+                description = "The database it reads")
+        @Required
+        private String database;
+
+        @Option(
+                name = {"--account"},
+                title = "ACCOUNT",
+                description = "The client account with whose rights it runs")
+        @Required
+        private String account;
+
+        @Option(
+                name = {"--sql"},
+                title = "SQL",
+                description = "The statement")
+        @Required
+        private String sql;
+
+        @Option(
+                name = {"--accepted-age-ms"},
+                title = "MS",
+                description = "How old the data may be")
+        private Integer acceptedAgeMillis = 1000;
+
+        @Override
+        ObjectNode intent() {
+            ObjectNode intent = intent("route-open").put("name", name);
+            putText(intent, "database", database);
+            putText(intent, "account", account);
+            putText(intent, "sql", sql);
+            putNumber(intent, "accepted_age_ms", acceptedAgeMillis);
+            return intent;
+        }
+    }
+
+    /** Close an open route. */
+    @Command(name = "close", description = "Close an open route")
+    public static final class RouteClose extends IntentCommand {
+        @Arguments(title = "NAME", description = "The route's name")
+        @Required
+        private String name;
+
+        @Override
+        ObjectNode intent() {
+            return intent("route-close").put("name", name);
+        }
+    }
+}
