Start a child process only once

Cause: a process that the soak had killed twice was started twice; the first one ran on unmanaged beside it.

--- a/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
@@ -82,8 +82,11 @@
         return process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / NANOS_PER_SECOND;
     }
 
-    /** Starts it; a process that has ended may be started again. */
+    /** Starts it unless it runs; a process that has ended may be started again. */
     public synchronized void start() {
+        if (isAlive()) {
+            return;
+        }
         try {
             process =
                     new ProcessBuilder(command())
@@ -158,11 +161,14 @@
     }
 
     /**
-     * Sends it a signal.
+     * Sends it a signal, if it runs.
      *
      * @param name the signal's name, without SIG
      */
     public synchronized void signal(String name) {
+        if (!isAlive()) {
+            return;
+        }
         try {
             new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
         } catch (IOException e) {
