--- a/org.chivevale.core/src/main/java/org/chivevale/core/log/JsonLogConfigurator.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/log/JsonLogConfigurator.java
@@ -13,9 +13,9 @@
 /**
  * Sets up Logback: one JSON line an event on standard output, queued, never blocking.
  *
- * <p>Code in place of an XML file, whose parsing takes a fifth of a process's start. A file that
- * the system property {@code logback.configurationFile} names goes first. Found by Logback as a
- * service; used once, on one thread.
+ * <p>Code in place of an XML file, whose parsing would lengthen every start. A file that the system
+ * property {@code logback.configurationFile} names goes first. Found by Logback as a service; used
+ * once, on one thread.
  */
 public final class JsonLogConfigurator extends ContextAwareBase implements Configurator {
     private static final String FILE_PROPERTY = "logback.configurationFile";
