--- a/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
@@ -1,8 +1,11 @@
 package org.chivevale.process;
 
 import io.vertx.core.Context;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
@@ -10,6 +13,7 @@
 import java.util.concurrent.TimeoutException;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
+import org.chivevale.core.settings.HostPort;
 import org.jboss.logging.Logger;
 
 /**
@@ -52,6 +56,27 @@
         return vertx;
     }
 
+    /**
+     * Serves HTTP on the event loop; an address that cannot be used is logged.
+     *
+     * @param listen where requests come in
+     * @param handler answers them
+     */
+    public void serveHttp(HostPort listen, Handler<HttpServerRequest> handler) {
+        HttpServerOptions options =
+                new HttpServerOptions().setHost(listen.host()).setPort(listen.port());
+        runAndWait(
+                () ->
+                        vertx.createHttpServer(options)
+                                .requestHandler(handler)
+                                .listen()
+                                .onFailure(
+                                        failure ->
+                                                LOG.errorf(
+                                                        "cannot listen on %s: %s",
+                                                        listen, failure)));
+    }
+
     /**
      * Runs an action on the event loop.
      *
--- a/org.chivevale.process/src/main/java/org/chivevale/process/MetricsServer.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/MetricsServer.java
@@ -1,11 +1,9 @@
 package org.chivevale.process;
 
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.HostPort;
-import org.jboss.logging.Logger;
 
 /**
  * Serves the process's counters and histograms in Prometheus' text format.
@@ -16,7 +14,6 @@
     /** Name in the kernel. */
     public static final String NAME = "metrics-server";
 
-    private static final Logger LOG = Logger.getLogger(MetricsServer.class);
     private static final String PATH = "/metrics";
     private static final int NOT_FOUND = 404;
 
@@ -36,19 +33,7 @@
     public void start(Kernel kernel) {
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
         metrics = kernel.find(Metrics.NAME, Metrics.class);
-        HttpServerOptions options =
-                new HttpServerOptions().setHost(listen.host()).setPort(listen.port());
-        loop.runAndWait(
-                () ->
-                        loop.vertx()
-                                .createHttpServer(options)
-                                .requestHandler(this::answer)
-                                .listen()
-                                .onFailure(
-                                        failure ->
-                                                LOG.errorf(
-                                                        "cannot listen on %s: %s",
-                                                        listen, failure)));
+        loop.serveHttp(listen, this::answer);
     }
 
     private void answer(HttpServerRequest request) {
