Store evacuations, allowed regions and warm-up rates

Cause: a configuration had no place for an evacuated data centre, for the regions that a route or a client account is limited to, or for the rate of a cold endpoint, so no decision could use them. Nothing reads them yet.

--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/config/ConfigurationDiffProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/config/ConfigurationDiffProperties.java
@@ -57,7 +57,7 @@
     void aSmallChangeOfALargeConfigurationIsSmall() {
         Configuration configuration = new Configuration();
         List<Route> routes = new ArrayList<>();
-        Database database = new Database("db", 1, false, 3, 20, 1);
+        Database database = new Database("db", 1, false, 3, 20, 1, 0);
         for (int i = 0; i < 400; i++) {
             routes.add(route("r" + i, "h" + i, "db", 1000));
         }
@@ -81,13 +81,23 @@
 
     private static Route route(String name, String host, String database, int timeoutMillis) {
         return new Route(
-                name, host, "/", database, ReadPolicy.SESSION, timeoutMillis, 500, 1, 1500, false);
+                name,
+                host,
+                "/",
+                database,
+                ReadPolicy.SESSION,
+                timeoutMillis,
+                500,
+                1,
+                1500,
+                false,
+                AllowedRegions.ANY);
     }
 
     private static DesiredConfiguration random(Random random, long version) {
         List<Database> databases = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            databases.add(new Database("db" + i, 1, false, 3, 20 + random.nextInt(2), 1));
+            databases.add(new Database("db" + i, 1, false, 3, 20 + random.nextInt(2), 1, 0));
         }
         List<Route> routes = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
@@ -101,7 +111,9 @@
         for (int i = 0; i < 4; i++) {
             ClientAccountId id = new ClientAccountId("a" + i);
             if (random.nextBoolean()) {
-                accounts.add(new Account(id, 1 + random.nextInt(3), 10, Set.of(), 0));
+                accounts.add(
+                        new Account(
+                                id, 1 + random.nextInt(3), 10, Set.of(), 0, AllowedRegions.ANY));
                 byte[] hash = OpaqueKey.hash("key" + (i + random.nextInt(2) * 10));
                 keys.add(new StoredKey(OpaqueKey.id(hash), id, hash));
             }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -24,12 +24,12 @@
 import org.chivevale.wire.proto.DesiredStored;
 import org.chivevale.wire.proto.EndpointPut;
 import org.chivevale.wire.proto.EndpointRemoved;
+import org.chivevale.wire.proto.EvacuationPut;
 import org.chivevale.wire.proto.FailoverStep;
 import org.chivevale.wire.proto.GroupState;
 import org.chivevale.wire.proto.KeyPut;
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.OpenRoutePut;
-import org.chivevale.wire.proto.OperatorPut;
 import org.chivevale.wire.proto.PlanStored;
 import org.chivevale.wire.proto.SessionLimitsPut;
 
@@ -49,11 +49,12 @@
     private final Map<String, byte[]> credentials = new TreeMap<>();
     private final Map<String, Group> groups = new TreeMap<>();
     private final Map<String, OpenRoute> openRoutes = new TreeMap<>();
-    private final Map<String, Operator> operators = new TreeMap<>();
+    private final OperatorTable operators = new OperatorTable();
     private final Map<String, FailoverStep> failovers = new TreeMap<>();
     private final Map<String, PlanStored> plans = new LinkedHashMap<>();
     private final RouteTable routes = new RouteTable();
     private final Map<String, EndpointPut> endpoints = new TreeMap<>();
+    private final Map<String, Evacuation> evacuations = new TreeMap<>();
     private SessionLimits sessionLimits = SessionLimits.DEFAULT;
     private DesiredStored desired = DesiredStored.getDefaultInstance();
     private byte[] sessionSecret = new byte[0];
@@ -97,6 +98,7 @@
         plans.clear();
         routes.clear();
         endpoints.clear();
+        evacuations.clear();
         desired = DesiredStored.getDefaultInstance();
         sessionLimits = SessionLimits.DEFAULT;
         snapshot.getChangesList().forEach(this::apply);
@@ -120,7 +122,7 @@
             case OPEN_ROUTE_PUT -> putOpenRoute(change.getOpenRoutePut());
             case OPEN_ROUTE_REMOVED -> openRoutes.remove(change.getOpenRouteRemoved().getName());
             case FAILOVER_STEP -> putFailover(change.getFailoverStep());
-            case OPERATOR_PUT -> putOperator(change.getOperatorPut());
+            case OPERATOR_PUT -> operators.put(change.getOperatorPut());
             case PLAN_STORED -> putPlan(change.getPlanStored());
             case ROUTE_PUT -> routes.put(change.getRoutePut());
             case ROUTE_REMOVED -> routes.remove(change.getRouteRemoved().getName());
@@ -129,6 +131,9 @@
             case DESIRED_STORED -> desired = change.getDesiredStored();
             case ENDPOINT_PUT -> putEndpoint(change.getEndpointPut());
             case ENDPOINT_REMOVED -> removeEndpoint(change.getEndpointRemoved());
+            case EVACUATION_PUT -> putEvacuation(change.getEvacuationPut());
+            case EVACUATION_REMOVED ->
+                    evacuations.remove(change.getEvacuationRemoved().getDataCenter());
             default -> throw new IllegalStateException("unknown change " + change.getKindCase());
         }
     }
@@ -147,7 +152,8 @@
                         put.getRatePerSecond(),
                         put.getBurst(),
                         Set.copyOf(put.getDatabasesList()),
-                        put.getLatencyObjectiveMillis()));
+                        put.getLatencyObjectiveMillis(),
+                        AllowedRegions.of(put.getAllowedRegionsList())));
     }
 
     private void removeAccount(String accountId) {
@@ -172,7 +178,8 @@
                         put.getAcknowledgeByQuorum(),
                         put.getEndpointsPerGroup(),
                         put.getConnectionLimit(),
-                        put.getPromotionAnswers()));
+                        put.getPromotionAnswers(),
+                        put.getWarmupRatePerSecond()));
     }
 
     private void putSessionLimits(SessionLimitsPut put) {
@@ -195,6 +202,13 @@
         endpoints.remove(removed.getGroupId() + "/" + removed.getEndpointId());
     }
 
+    private void putEvacuation(EvacuationPut put) {
+        evacuations.put(
+                put.getDataCenter(),
+                new Evacuation(
+                        put.getDataCenter(), put.getOperatorId(), put.getRequestedUnixMillis()));
+    }
+
     private void putGroup(GroupState state) {
         GroupId id = GroupId.parse(state.getGroupId());
         Map<Long, Long> starts = new HashMap<>();
@@ -237,16 +251,6 @@
         }
     }
 
-    private void putOperator(OperatorPut put) {
-        operators.put(
-                put.getOperatorId(),
-                new Operator(
-                        put.getOperatorId(),
-                        put.getKeyId(),
-                        put.getHash().toByteArray(),
-                        Operator.Role.valueOf(put.getRole())));
-    }
-
     private void putPlan(PlanStored plan) {
         plans.put(plan.getPlanId(), plan);
         while (plans.size() > MAX_PLANS) {
@@ -395,7 +399,7 @@
      * @return the operator, or null
      */
     public Operator operator(String id) {
-        return operators.get(id);
+        return operators.find(id);
     }
 
     /**
@@ -406,16 +410,7 @@
      * @throws ChivevaleException with OPERATOR_REFUSED when no operator has the key
      */
     public Operator authenticateOperator(String text) {
-        if (text != null && !text.isEmpty()) {
-            ClientKey sent = ClientKey.parse(text);
-            for (Operator operator : operators.values()) {
-                if (operator.keyId().equals(sent.id()) && sent.matches(operator.hash())) {
-                    return operator;
-                }
-            }
-        }
-        throw new ChivevaleException(
-                ResultCode.OPERATOR_REFUSED, "the operator key is missing or unknown");
+        return operators.authenticate(text);
     }
 
     /**
@@ -424,7 +419,7 @@
      * @return a read-only view
      */
     public Collection<Operator> operators() {
-        return Collections.unmodifiableCollection(operators.values());
+        return operators.all();
     }
 
     /**
@@ -558,6 +553,25 @@
         return endpoints.get(group + "/" + endpoint);
     }
 
+    /**
+     * Lists the evacuations in force, by data centre.
+     *
+     * @return a read-only view
+     */
+    public Collection<Evacuation> evacuations() {
+        return Collections.unmodifiableCollection(evacuations.values());
+    }
+
+    /**
+     * Tells whether the endpoints of a data centre take no new work.
+     *
+     * @param dataCenter the data centre
+     * @return true while its evacuation is in force
+     */
+    public boolean isEvacuated(String dataCenter) {
+        return evacuations.containsKey(dataCenter);
+    }
+
     /**
      * Finds a key that another system issued.
      *
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
@@ -9,6 +9,7 @@
 import org.chivevale.wire.proto.DatabaseCredentialPut;
 import org.chivevale.wire.proto.DatabasePut;
 import org.chivevale.wire.proto.DesiredStored;
+import org.chivevale.wire.proto.EvacuationPut;
 import org.chivevale.wire.proto.GroupState;
 import org.chivevale.wire.proto.KeyPut;
 import org.chivevale.wire.proto.OpenRoutePut;
@@ -46,6 +47,7 @@
         source.openRoutes().forEach(this::write);
         source.routes().forEach(route -> out.addChanges(change(route)));
         out.addChanges(change(source.sessionLimits()));
+        source.evacuations().forEach(evacuation -> out.addChanges(change(evacuation)));
         out.addChanges(desired());
         if (!forProxy) {
             writeControlOnly();
@@ -101,7 +103,8 @@
                                 .setAcknowledgeByQuorum(database.acknowledgeByQuorum())
                                 .setEndpointsPerGroup(database.endpointsPerGroup())
                                 .setConnectionLimit(database.connectionLimit())
-                                .setPromotionAnswers(database.promotionAnswers()))
+                                .setPromotionAnswers(database.promotionAnswers())
+                                .setWarmupRatePerSecond(database.warmupRatePerSecond()))
                 .build();
     }
 
@@ -117,7 +120,8 @@
                                 .setRatePerSecond(account.ratePerSecond())
                                 .setBurst(account.burst())
                                 .addAllDatabases(account.databases())
-                                .setLatencyObjectiveMillis(account.latencyObjectiveMillis()))
+                                .setLatencyObjectiveMillis(account.latencyObjectiveMillis())
+                                .addAllAllowedRegions(account.allowedRegions().toList()))
                 .build();
     }
 
@@ -181,7 +185,18 @@
                                 .setLatencyObjectiveMillis(route.latencyObjectiveMillis())
                                 .setPriority(route.priority())
                                 .setMaxStalenessMillis(route.maxStalenessMillis())
-                                .setAnonymous(route.anonymous()))
+                                .setAnonymous(route.anonymous())
+                                .addAllAllowedRegions(route.allowedRegions().toList()))
+                .build();
+    }
+
+    static Change change(Evacuation evacuation) {
+        return Change.newBuilder()
+                .setEvacuationPut(
+                        EvacuationPut.newBuilder()
+                                .setDataCenter(evacuation.dataCenter())
+                                .setOperatorId(evacuation.operatorId())
+                                .setRequestedUnixMillis(evacuation.requestedUnixMillis()))
                 .build();
     }
 
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
@@ -14,6 +14,8 @@
  *     announces its limit
  * @param promotionAnswers members that must respond before a promotion; 0 for the smallest number
  *     that cannot miss an acknowledged write
+ * @param warmupRatePerSecond requests per second that a cold endpoint accepts from all proxies
+ *     together; 0 for no limit
  */
 public record Database(
         String name,
@@ -21,7 +23,8 @@
         boolean acknowledgeByQuorum,
         int endpointsPerGroup,
         int connectionLimit,
-        int promotionAnswers) {
+        int promotionAnswers,
+        double warmupRatePerSecond) {
     /**
      * Returns how many members must respond before a promotion.
      *
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Route.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Route.java
@@ -15,6 +15,7 @@
  * @param priority 0 is the highest
  * @param maxStalenessMillis staleness bound of reads that need not see every commit
  * @param anonymous true when no key is needed
+ * @param allowedRegions the regions whose endpoints may run its requests
  */
 public record Route(
         String name,
@@ -26,4 +27,5 @@
         int latencyObjectiveMillis,
         int priority,
         int maxStalenessMillis,
-        boolean anonymous) {}
+        boolean anonymous,
+        AllowedRegions allowedRegions) {}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/RouteTable.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/RouteTable.java
@@ -36,7 +36,8 @@
                                 put.getLatencyObjectiveMillis(),
                                 put.getPriority(),
                                 put.getMaxStalenessMillis(),
-                                put.getAnonymous()));
+                                put.getAnonymous(),
+                                AllowedRegions.of(put.getAllowedRegionsList())));
         if (before != null && !before.host().equals(put.getHost())) {
             reindexHost(before.host());
         }
