Listen for callers first and answer all that connected

Vert.x' NetServer removes its event loop before it closes the listener, so Netty closes what is accepted in between (IllegalStateException in VertxEventLoopGroup.next). During a start callers were refused until all libraries were loaded; they use up their retries on that.

--- a/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.internal.ContextInternal;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
@@ -71,6 +72,20 @@
         return vertx;
     }
 
+    /** Returns the Netty event loop on which the actions run. */
+    io.netty.channel.EventLoop nettyLoop() {
+        return ((ContextInternal) context).nettyEventLoop();
+    }
+
+    /**
+     * Runs an action for an event of Netty on this event loop; logs what it throws.
+     *
+     * @param action must not block
+     */
+    public void dispatch(Runnable action) {
+        ((ContextInternal) context).emit(ignored -> action.run());
+    }
+
     /**
      * Serves HTTP on the event loop; fails when the address cannot be bound.
      *
--- a/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
@@ -21,7 +21,6 @@
  * Exit code 2 reports a wrong command line or wrong settings. Used by one thread.
  */
 public abstract class Main {
-    private static final Logger LOG = Logger.getLogger(Main.class);
     private static final int BAD_SETTINGS_STATUS = 2;
     private static final String SETTINGS_VARIABLE = "CHIVEVALE_SETTINGS";
     private static final String DEFAULT_SETTINGS = "settings.toml";
@@ -87,9 +86,14 @@
     }
 
     private static void stop(Kernel kernel) {
-        LOG.info("stopping");
+        log().info("stopping");
         kernel.stop();
-        LOG.info("stopped");
+        log().info("stopped");
+    }
+
+    /** Initializes logging only when it is used, so that a main class can listen before. */
+    private static Logger log() {
+        return Logger.getLogger(Main.class);
     }
 
     private boolean helpShown() {
@@ -103,7 +107,7 @@
             return;
         }
         kernel.start();
-        LOG.infof("started %s with %s", getClass().getSimpleName(), settingsFile);
+        log().infof("started %s with %s", getClass().getSimpleName(), settingsFile);
         ProcessLifetime.runUntilStopped(() -> stop(kernel));
     }
 }
