Switch evacuated primaries over within their regions

Cause: the policy of failovers knew neither evacuated data centres nor regions. A switchover compared positions but not timelines, so a diverged replica could be chosen, or a second member after an earlier attempt had promoted one. Planned fences were told by the text of their reason. A fence says itself whether it is planned, and is committed only for the group it was decided on.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverChanges.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverChanges.java
@@ -66,6 +66,15 @@
                 Change.newBuilder().setFailoverStep(step).build());
     }
 
+    /** Fences the primary unless the group has changed or is being fenced already. */
+    static List<Change> fenceIfUnchanged(
+            Configuration now, Group group, FailoverAction.Fence fence) {
+        boolean unchanged =
+                now.group(group.id()).equals(group)
+                        && !now.failovers().containsKey(group.id().toString());
+        return unchanged ? fence(group, fence.reason(), fence.planned()) : List.of();
+    }
+
     static List<Change> chooseCandidate(
             Configuration now, FailoverStep step, EndpointId candidate) {
         FailoverPhase phase = FailoverPhase.valueOf(step.getPhase());
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
@@ -1,5 +1,6 @@
 package org.chivevale.control.internal.failover;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Map;
 import java.util.TreeMap;
 import org.chivevale.control.MemberConnectorFactory;
@@ -24,6 +25,7 @@
     public static final String NAME = "failover";
 
     private static final long TICK_MILLIS = 25;
+    private static final String OPERATOR = "failover";
 
     private final MemberConnectorFactory connectorFactory;
     private final Map<String, GroupFailover> failovers = new TreeMap<>();
@@ -31,9 +33,14 @@
     private final FailoverPolicy policy;
     private LogService log;
     private FleetService fleet;
+    private FailoverLog failoverLog;
+    private FailoverFleet failoverFleet;
     private MemberClient memberClient;
     private FailoverTimings timings;
 
+    /** Read by the metrics' thread. */
+    private volatile int blockedGroups;
+
     /**
      * Creates the service.
      *
@@ -50,7 +57,11 @@
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
         log = kernel.find(LogService.NAME, LogService.class);
         fleet = kernel.find(FleetService.NAME, FleetService.class);
-        timings = new FailoverTimings(kernel.find(Metrics.NAME, Metrics.class).registry());
+        failoverLog = FailoverLog.of(log, OPERATOR);
+        failoverFleet = FailoverFleet.of(fleet);
+        MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
+        timings = new FailoverTimings(registry);
+        registry.gauge("chivevale.control.failover.blocked", this, self -> self.blockedGroups);
         memberClient = new MemberClient(connectorFactory.create(loop));
         loop.every(TICK_MILLIS, this::tick);
     }
@@ -59,13 +70,16 @@
         if (!log.isLeader()) {
             failovers.clear();
             reconcilers.clear();
+            blockedGroups = 0;
             return;
         }
+        int blocked = 0;
         Configuration configuration = log.state().configuration();
         for (Database database : configuration.databases()) {
             for (int slot = 0; slot < database.slots(); slot++) {
                 GroupId group = new GroupId(database.name(), slot);
                 failover(group).tick();
+                blocked += blockedReason(group).isEmpty() ? 0 : 1;
                 reconcilers
                         .computeIfAbsent(
                                 group.toString(),
@@ -73,12 +87,15 @@
                         .reconcile();
             }
         }
+        blockedGroups = blocked;
     }
 
     private GroupFailover failover(GroupId group) {
         return failovers.computeIfAbsent(
                 group.toString(),
-                key -> new GroupFailover(group, log, fleet, memberClient, policy, timings));
+                key ->
+                        new GroupFailover(
+                                group, failoverLog, failoverFleet, memberClient, policy, timings));
     }
 
     /**
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -1,12 +1,13 @@
 package org.chivevale.control.internal.failover;
 
 import io.vertx.core.Future;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
 import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Database;
 import org.chivevale.core.config.Group;
@@ -14,14 +15,17 @@
 import org.chivevale.core.failover.FailoverPhase;
 import org.chivevale.core.failover.FailoverPolicy;
 import org.chivevale.core.failover.FailoverView;
+import org.chivevale.core.failover.GroupRegions;
+import org.chivevale.core.failover.MemberPlace;
 import org.chivevale.core.failover.MemberPosition;
+import org.chivevale.core.failover.PrimaryEligibility;
+import org.chivevale.core.failover.SwitchoverBackoff;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.database.MemberConnection;
 import org.chivevale.database.MemberStatus;
 import org.chivevale.database.PromotionOrder;
-import org.chivevale.process.EventLoop;
 import org.chivevale.wire.proto.FailoverStep;
 import org.jboss.logging.Logger;
 
@@ -37,11 +41,13 @@
     private static final long COLLECT_INTERVAL_MILLIS = 60;
     private static final long PROMOTE_TIMEOUT_MILLIS = 2000;
     private static final long REINSTATE_GRACE_MILLIS = 1500;
-    private static final String OPERATOR = "failover";
+
+    /** Bounds the lines of a group whose reason alternates. */
+    private static final long REASON_LOG_INTERVAL_MILLIS = 1000;
 
     private final GroupId group;
-    private final LogService log;
-    private final FleetService fleet;
+    private final FailoverLog log;
+    private final FailoverFleet fleet;
     private final MemberClient memberClient;
     private final FailoverPolicy policy;
     private final FailoverTimings timings;
@@ -54,15 +60,20 @@
     private MemberPosition promotion;
     private long promoteStartNanos;
     private boolean promoting;
-    private long lastReinstatedNanos =
-            EventLoop.nowNanos() - REINSTATE_GRACE_MILLIS * NANOS_PER_MILLI;
+    private long lastReinstatedNanos;
+    private final SwitchoverBackoff backoff = new SwitchoverBackoff();
+    private FailoverStep lastStep;
+    private AllowedRegions regions = AllowedRegions.ANY;
+    private long regionsVersion = -1;
     private boolean proposing;
     private String blockedReason = "";
+    private String loggedReason = "";
+    private long loggedNanos;
 
     GroupFailover(
             GroupId group,
-            LogService log,
-            FleetService fleet,
+            FailoverLog log,
+            FailoverFleet fleet,
             MemberClient memberClient,
             FailoverPolicy policy,
             FailoverTimings timings) {
@@ -72,6 +83,7 @@
         this.memberClient = memberClient;
         this.policy = policy;
         this.timings = timings;
+        lastReinstatedNanos = fleet.nowNanos() - REINSTATE_GRACE_MILLIS * NANOS_PER_MILLI;
     }
 
     String blockedReason() {
@@ -83,19 +95,72 @@
         if (proposing) {
             return;
         }
-        Configuration configuration = log.state().configuration();
+        Configuration configuration = log.configuration();
         FailoverStep step = configuration.failovers().get(group.toString());
         FailoverPhase phase = step == null ? null : FailoverPhase.valueOf(step.getPhase());
+        PrimaryEligibility eligibility = eligibility(configuration);
         if (phase != lastPhase) {
             onPhaseChange(phase, configuration.version());
         }
-        FailoverAction action = policy.next(buildView(configuration, phase, step));
-        blockedReason = "";
+        updateBackoff(configuration, step, eligibility);
+        FailoverAction action = policy.next(buildView(configuration, phase, step, eligibility));
+        setBlockedReason(action instanceof FailoverAction.Blocked blocked ? blocked.reason() : "");
         execute(action, configuration, step);
     }
 
+    private PrimaryEligibility eligibility(Configuration configuration) {
+        if (regionsVersion != configuration.version()) {
+            regionsVersion = configuration.version();
+            regions = GroupRegions.of(configuration, group.database());
+        }
+        long now = fleet.nowNanos();
+        List<MemberPlace> places = new ArrayList<>();
+        for (InstanceAnnouncement instance : fleet.membership().instances(group)) {
+            boolean liveReplica =
+                    !instance.primary()
+                            && !instance.shuttingDown()
+                            && fleet.membership().isFresh(instance, now);
+            places.add(
+                    new MemberPlace(
+                            instance.endpoint(),
+                            instance.region(),
+                            instance.dataCenter(),
+                            liveReplica));
+        }
+        return PrimaryEligibility.of(configuration, regions, places);
+    }
+
+    /** Counts the switchovers of an evacuated primary that ended with the same primary. */
+    private void updateBackoff(
+            Configuration configuration, FailoverStep step, PrimaryEligibility eligibility) {
+        FailoverStep ended = step == null ? lastStep : null;
+        lastStep = step;
+        EndpointId primary = configuration.group(group).primary();
+        if (primary == null) {
+            return;
+        }
+        if (!eligibility.isEvacuated(primary)) {
+            backoff.reset();
+        } else if (ended != null && !primary.equals(parseEndpoint(ended.getReplacedEndpointId()))) {
+            backoff.reset();
+        } else if (ended != null && ended.getPlanned()) {
+            backoff.recordReinstated(fleet.nowNanos());
+        }
+    }
+
+    private void setBlockedReason(String reason) {
+        boolean isNewReason = !reason.isEmpty() && !reason.equals(loggedReason);
+        long now = fleet.nowNanos();
+        if (isNewReason && millisSince(loggedNanos, now) > REASON_LOG_INTERVAL_MILLIS) {
+            LOG.infof("group %s: blocked: %s", group, reason);
+            loggedReason = reason;
+            loggedNanos = now;
+        }
+        blockedReason = reason;
+    }
+
     private void onPhaseChange(FailoverPhase phase, long version) {
-        long now = EventLoop.nowNanos();
+        long now = fleet.nowNanos();
         timings.onPhaseChange(group, lastPhase, phase, now);
         boolean stillPromoting =
                 phase != null
@@ -113,13 +178,16 @@
     }
 
     private FailoverView buildView(
-            Configuration configuration, FailoverPhase phase, FailoverStep step) {
-        long now = EventLoop.nowNanos();
+            Configuration configuration,
+            FailoverPhase phase,
+            FailoverStep step,
+            PrimaryEligibility eligibility) {
+        long now = fleet.nowNanos();
         Group state = configuration.group(group);
         Database database = configuration.database(group.database());
         EndpointId primary = state.primary();
-        InstanceAnnouncement announced =
-                primary == null ? null : fleet.membership().instance(primary, group);
+        EndpointId replaced = step == null ? null : parseEndpoint(step.getReplacedEndpointId());
+        boolean shuttingDown = isShuttingDown(phase == null ? primary : replaced);
         boolean watching =
                 phase == null
                         && primary != null
@@ -128,19 +196,27 @@
                 phase,
                 state.term(),
                 primary,
-                step == null ? null : parseEndpoint(step.getReplacedEndpointId()),
+                replaced,
                 step == null ? null : parseEndpoint(step.getCandidateEndpointId()),
                 step != null && step.getPlanned(),
                 step == null ? null : parseEndpoint(step.getPreferredEndpointId()),
                 watching && fleet.failureDetector(group).isSuspected(primary, state.term(), now),
-                watching && announced != null && announced.shuttingDown(),
+                shuttingDown && (watching || phase != null),
                 phase != null && fleet.leases().isInForce(fenceVersion, now),
                 database == null ? 1 : database.requiredPromotionResponses(),
                 fleet.membership().instances(group).size(),
                 positions,
                 collectStartNanos == 0 ? 0 : millisSince(collectStartNanos, now),
                 promotion,
-                millisSince(promoteStartNanos, now));
+                millisSince(promoteStartNanos, now),
+                eligibility,
+                backoff.isPaused(now));
+    }
+
+    private boolean isShuttingDown(EndpointId endpoint) {
+        InstanceAnnouncement announced =
+                endpoint == null ? null : fleet.membership().instance(endpoint, group);
+        return announced != null && announced.shuttingDown();
     }
 
     private static EndpointId parseEndpoint(String id) {
@@ -154,19 +230,18 @@
     private void execute(FailoverAction action, Configuration configuration, FailoverStep step) {
         if (action instanceof FailoverAction.Fence fence) {
             Group state = configuration.group(group);
-            propose(ignored -> FailoverChanges.fence(state, fence.reason(), isPlanned(fence)));
+            propose(now -> FailoverChanges.fenceIfUnchanged(now, state, fence));
         } else if (action instanceof FailoverAction.Collect) {
             collectPositions(configuration, step);
-        } else if (action instanceof FailoverAction.Blocked blocked) {
-            blockedReason = blocked.reason();
+        } else if (action instanceof FailoverAction.Blocked && step != null) {
             collectPositions(configuration, step);
         } else if (action instanceof FailoverAction.Choose choose) {
-            timings.markPositionsCollected(group, EventLoop.nowNanos());
+            timings.markPositionsCollected(group, fleet.nowNanos());
             propose(now -> FailoverChanges.chooseCandidate(now, step, choose.candidate()));
         } else if (action instanceof FailoverAction.Reinstate reinstate) {
             HostPort address = address(reinstate.primary());
             if (address != null) {
-                lastReinstatedNanos = EventLoop.nowNanos();
+                lastReinstatedNanos = fleet.nowNanos();
                 propose(now -> FailoverChanges.reinstate(now, step, reinstate.primary(), address));
             }
         } else if (action instanceof FailoverAction.Promote promote) {
@@ -179,10 +254,6 @@
         }
     }
 
-    private boolean isPlanned(FailoverAction.Fence fence) {
-        return !fence.reason().startsWith("suspected");
-    }
-
     private HostPort address(EndpointId endpoint) {
         InstanceAnnouncement instance = fleet.membership().instance(endpoint, group);
         return instance == null ? null : instance.address();
@@ -190,7 +261,7 @@
 
     private void propose(LogService.ChangeBuilder changeBuilder) {
         proposing = true;
-        log.propose(OPERATOR, "", changeBuilder)
+        log.propose(changeBuilder)
                 .onComplete(
                         ended -> {
                             proposing = false;
@@ -203,7 +274,7 @@
     }
 
     private void collectPositions(Configuration configuration, FailoverStep step) {
-        long now = EventLoop.nowNanos();
+        long now = fleet.nowNanos();
         boolean tooSoon =
                 lastCollectNanos != 0
                         && millisSince(lastCollectNanos, now) < COLLECT_INTERVAL_MILLIS;
@@ -267,8 +338,12 @@
         }
         positions.put(
                 instance.endpoint(),
-                new MemberPosition(
-                        instance.endpoint(), status.primary(), timeline, status.position()));
+                MemberPosition.of(
+                        log.configuration().group(group),
+                        instance.endpoint(),
+                        status.primary(),
+                        timeline,
+                        status.position()));
     }
 
     private void promote(EndpointId candidate) {
@@ -277,8 +352,7 @@
             return;
         }
         promoting = true;
-        PromotionOrder order =
-                new PromotionOrder(log.processId(), log.state().term(), log::isLeader);
+        PromotionOrder order = log.promotionOrder();
         memberClient
                 .call(
                         instance.target(),
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
@@ -52,7 +52,9 @@
                 positions,
                 collectingForMillis,
                 null,
-                10);
+                10,
+                PrimaryEligibility.UNRESTRICTED,
+                false);
     }
 
     private static MemberPosition at(EndpointId id, boolean primary, long position) {
@@ -102,6 +104,37 @@
                 policy.next(view(FailoverPhase.FENCING, true, caughtUp, true, 10)));
     }
 
+    /** Guards against a switchover that loses commits which only the primary's timeline has. */
+    @Example
+    void aSwitchoverChoosesNoReplicaOfAnotherTimeline() {
+        Map<EndpointId, MemberPosition> diverged =
+                Map.of(A, at(A, true, 9), B, new MemberPosition(B, false, 0, 12));
+        assertInstanceOf(
+                FailoverAction.Blocked.class,
+                policy.next(view(FailoverPhase.FENCING, true, diverged, true, 10)));
+        Map<EndpointId, MemberPosition> oneFollows =
+                Map.of(
+                        A,
+                        at(A, true, 9),
+                        B,
+                        new MemberPosition(B, false, 0, 12),
+                        C,
+                        at(C, false, 9));
+        assertEquals(
+                new FailoverAction.Choose(C),
+                policy.next(view(FailoverPhase.FENCING, true, oneFollows, true, 10)));
+    }
+
+    /** Guards against two members that are promoted to the same timeline, one after the other. */
+    @Example
+    void aSwitchoverChoosesAMemberThatAnEarlierAttemptHasPromoted() {
+        Map<EndpointId, MemberPosition> promoted =
+                Map.of(A, at(A, true, 9), B, at(B, false, 9), C, new MemberPosition(C, true, 2, 9));
+        assertEquals(
+                new FailoverAction.Choose(C),
+                policy.next(view(FailoverPhase.FENCING, true, promoted, true, 10)));
+    }
+
     @Property(tries = 1000, seed = "20261204")
     void theChosenMemberHoldsEveryWriteThatAQuorumHeld(@ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverAction.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverAction.java
@@ -12,7 +12,7 @@
     record NoAction() implements FailoverAction {}
 
     /**
-     * The failover cannot proceed yet.
+     * The failover cannot proceed or start yet.
      *
      * @param reason what it is waiting for
      */
@@ -22,8 +22,9 @@
      * Append the fencing of the primary to the log.
      *
      * @param reason why the primary is replaced
+     * @param planned true for a switchover, false for a failover
      */
-    record Fence(String reason) implements FailoverAction {}
+    record Fence(String reason, boolean planned) implements FailoverAction {}
 
     /** Disconnect the replicas from the old primary and query all members for their positions. */
     record Collect() implements FailoverAction {}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
@@ -1,7 +1,9 @@
 package org.chivevale.core.failover;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.chivevale.core.group.EndpointId;
 
 /**
@@ -10,7 +12,9 @@
  * <p>A decision depends only on the log and on the members' responses since the fence came into
  * force, so a new leader decides alike. Invariants: no member is promoted before the fence is in
  * force; the candidate holds every write that may have been acknowledged, unless an operator
- * accepted a loss; a term is published once. Immutable and thread safe.
+ * accepted a loss; a member that is not known to be in the group's regions is never chosen; an
+ * evacuation never costs an acknowledged write; a term is published once. Immutable and thread
+ * safe.
  */
 public final class FailoverPolicy {
     private static final int RESPONSES_NEEDED_WITH_LOSS = 1;
@@ -73,12 +77,30 @@
             return new FailoverAction.NoAction();
         }
         if (view.suspected()) {
-            return new FailoverAction.Fence("suspected by a majority of its probers");
+            return new FailoverAction.Fence("suspected by a majority of its probers", false);
         }
         if (view.shuttingDown()) {
-            return new FailoverAction.Fence("the primary is leaving");
+            return new FailoverAction.Fence("the primary is leaving", true);
         }
-        return new FailoverAction.NoAction();
+        return view.eligibility().isEvacuated(view.primary())
+                ? startEvacuation(view)
+                : new FailoverAction.NoAction();
+    }
+
+    private static FailoverAction startEvacuation(FailoverView view) {
+        String cause = "the primary's data centre is evacuated";
+        if (!view.eligibility().hasReplacementFor(view.primary())) {
+            return new FailoverAction.Blocked(
+                    cause
+                            + ", and no live replica is elsewhere in "
+                            + view.eligibility().describeRegions());
+        }
+        if (view.evacuationPaused()) {
+            return new FailoverAction.Blocked(
+                    cause
+                            + ", and no replica caught up in the last attempt; retried after a pause");
+        }
+        return new FailoverAction.Fence(cause, true);
     }
 
     private FailoverAction choose(FailoverView view) {
@@ -88,53 +110,147 @@
         if (switchoverAllowed && oldIntact) {
             return switchOver(view, old);
         }
+        boolean primaryMayAnswer = view.collectingForMillis() <= catchUpTimeoutMillis;
+        if (old == null && mustLeaveEvacuated(view) && primaryMayAnswer) {
+            return await(view, "the primary has not answered with its position yet");
+        }
         int needed =
                 view.phase().isLossAccepted()
                         ? RESPONSES_NEEDED_WITH_LOSS
                         : view.requiredResponses();
         if (view.positions().size() < needed) {
-            return view.collectingForMillis() == 0
-                    ? new FailoverAction.Collect()
-                    : new FailoverAction.Blocked(
-                            view.positions().size()
-                                    + " of the "
-                                    + needed
-                                    + " members needed have answered with their positions");
+            return await(
+                    view,
+                    view.positions().size()
+                            + " of the "
+                            + needed
+                            + " members needed have answered with their positions"
+                            + noteIfNonePermitted(view));
         }
         boolean moreExpected = view.positions().size() < view.knownMembers();
         if (moreExpected && view.collectingForMillis() < gracePeriodMillis) {
-            return view.collectingForMillis() == 0
-                    ? new FailoverAction.Collect()
-                    : new FailoverAction.Blocked("waiting for further members to answer");
+            return await(view, "waiting for further members to answer");
         }
-        Optional<MemberPosition> mostUpToDate = view.positions().values().stream().max(BY_PROGRESS);
-        MemberPosition best = mostUpToDate.orElseThrow();
-        if (oldIntact && best.equals(old)) {
-            return new FailoverAction.Reinstate(old.endpoint());
+        return chooseMostUpToDate(view, oldIntact ? old : null);
+    }
+
+    /**
+     * Chooses a member of an unplanned failover. Members outside the group's regions count for what
+     * may have been acknowledged, but are not chosen.
+     */
+    private static FailoverAction chooseMostUpToDate(FailoverView view, MemberPosition intact) {
+        PrimaryEligibility eligibility = view.eligibility();
+        MemberPosition furthest = view.positions().values().stream().max(BY_PROGRESS).orElseThrow();
+        Optional<MemberPosition> best =
+                view.positions().values().stream()
+                        .filter(member -> eligibility.isPermitted(member.endpoint()))
+                        .max(
+                                BY_PROGRESS
+                                        .thenComparing(
+                                                member ->
+                                                        !eligibility.isEvacuated(member.endpoint()))
+                                        .thenComparing(member -> member.endpoint().value()));
+        boolean bestHasAll = best.isPresent() && hasSameProgress(best.get(), furthest);
+        boolean intactHasAll = intact != null && hasSameProgress(intact, furthest);
+        if (intactHasAll && (!bestHasAll || best.get().equals(intact))) {
+            return new FailoverAction.Reinstate(intact.endpoint());
+        }
+        if (bestHasAll || best.isPresent() && view.phase().isLossAccepted()) {
+            return new FailoverAction.Choose(best.get().endpoint());
         }
-        return new FailoverAction.Choose(best.endpoint());
+        return await(
+                view,
+                best.isEmpty()
+                        ? "members have answered with their positions" + noteIfNonePermitted(view)
+                        : furthest.endpoint()
+                                + " holds writes that no member in "
+                                + eligibility.describeRegions()
+                                + " holds");
     }
 
     private FailoverAction switchOver(FailoverView view, MemberPosition old) {
-        Optional<EndpointId> caughtUp =
-                view.positions().values().stream()
-                        .filter(member -> !member.endpoint().equals(old.endpoint()))
-                        .filter(member -> member.position() >= old.position())
-                        .filter(
-                                member ->
-                                        view.preferred() == null
-                                                || member.endpoint().equals(view.preferred()))
-                        .map(MemberPosition::endpoint)
-                        .min(Comparator.comparing(EndpointId::value));
-        if (caughtUp.isPresent()) {
-            return new FailoverAction.Choose(caughtUp.get());
-        }
-        if (view.collectingForMillis() > catchUpTimeoutMillis) {
+        PrimaryEligibility eligibility = view.eligibility();
+        Optional<MemberPosition> promotedBefore = findPromotedBefore(view, old);
+        if (promotedBefore.isPresent()) {
+            EndpointId promoted = promotedBefore.get().endpoint();
+            return eligibility.isPermitted(promoted)
+                    ? new FailoverAction.Choose(promoted)
+                    : await(
+                            view,
+                            promoted
+                                    + " is promoted, but is outside "
+                                    + eligibility.describeRegions());
+        }
+        List<EndpointId> caughtUp = findCaughtUp(view, old);
+        Optional<EndpointId> notEvacuated =
+                caughtUp.stream().filter(member -> !eligibility.isEvacuated(member)).findFirst();
+        if (notEvacuated.isPresent()) {
+            return new FailoverAction.Choose(notEvacuated.get());
+        }
+        boolean timedOut = view.collectingForMillis() > catchUpTimeoutMillis;
+        boolean isLastChoice = timedOut || !eligibility.hasReplacementFor(old.endpoint());
+        if (!caughtUp.isEmpty() && isLastChoice && !mustLeaveEvacuated(view)) {
+            return new FailoverAction.Choose(caughtUp.get(0));
+        }
+        if (timedOut) {
             return new FailoverAction.Reinstate(old.endpoint());
         }
+        return await(
+                view,
+                "no replica "
+                        + (eligibility.regions().isRestricted()
+                                ? "in " + eligibility.describeRegions() + " "
+                                : "")
+                        + "has caught up with the primary yet");
+    }
+
+    /**
+     * Finds a member that an earlier attempt has promoted; choosing another would start two
+     * timelines with the same number.
+     */
+    private static Optional<MemberPosition> findPromotedBefore(
+            FailoverView view, MemberPosition old) {
+        return view.positions().values().stream()
+                .filter(member -> member.timeline() > view.term())
+                .filter(member -> member.position() >= old.position())
+                .max(BY_PROGRESS.thenComparing(member -> member.endpoint().value()));
+    }
+
+    /** Lists the permitted replicas that hold all that the primary holds, by id. */
+    private static List<EndpointId> findCaughtUp(FailoverView view, MemberPosition old) {
+        return view.positions().values().stream()
+                .filter(member -> !member.endpoint().equals(old.endpoint()))
+                .filter(member -> member.timeline() == view.term())
+                .filter(member -> member.position() >= old.position())
+                .map(MemberPosition::endpoint)
+                .filter(member -> view.preferred() == null || member.equals(view.preferred()))
+                .filter(view.eligibility()::isPermitted)
+                .sorted(Comparator.comparing(EndpointId::value))
+                .toList();
+    }
+
+    /**
+     * Tells whether a switchover is of use only if the new primary is not evacuated. A primary that
+     * is shutting down is handed over to an evacuated replica rather than lost.
+     */
+    private static boolean mustLeaveEvacuated(FailoverView view) {
+        return view.planned()
+                && view.eligibility().isEvacuated(view.replaced())
+                && !view.shuttingDown();
+    }
+
+    private static String noteIfNonePermitted(FailoverView view) {
+        Set<EndpointId> answered = view.positions().keySet();
+        boolean anyPermitted = answered.stream().anyMatch(view.eligibility()::isPermitted);
+        return answered.isEmpty() || anyPermitted
+                ? ""
+                : ", none of them in " + view.eligibility().describeRegions();
+    }
+
+    private static FailoverAction await(FailoverView view, String reason) {
         return view.collectingForMillis() == 0
                 ? new FailoverAction.Collect()
-                : new FailoverAction.Blocked("no replica has caught up with the primary yet");
+                : new FailoverAction.Blocked(reason);
     }
 
     private FailoverAction promote(FailoverView view) {
@@ -145,14 +261,18 @@
             return new FailoverAction.Publish(
                     response.endpoint(), response.timeline(), response.position());
         }
-        if (view.promotingForMillis() > promotionTimeoutMillis) {
+        boolean mayPromote = !view.eligibility().isOutside(view.candidate());
+        if (view.promotingForMillis() > promotionTimeoutMillis || !mayPromote) {
             return new FailoverAction.AbandonCandidate();
         }
         return new FailoverAction.Promote(view.candidate());
     }
 
+    private static boolean hasSameProgress(MemberPosition one, MemberPosition other) {
+        return BY_PROGRESS.compare(one, other) == 0;
+    }
+
     private static final Comparator<MemberPosition> BY_PROGRESS =
             Comparator.comparingLong(MemberPosition::timeline)
-                    .thenComparingLong(MemberPosition::position)
-                    .thenComparing(member -> member.endpoint().value());
+                    .thenComparingLong(MemberPosition::position);
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
@@ -13,10 +13,11 @@
  * @param primary the primary in the log; null once it is fenced
  * @param replaced the primary that is being replaced
  * @param candidate the candidate in the log, or null
- * @param planned true for a switchover: requested by an operator or due to a primary's shutdown
+ * @param planned true for a switchover: requested by an operator, or due to a primary's shutdown or
+ *     the evacuation of its data centre
  * @param preferred the member that a switchover should promote, or null for any
  * @param suspected true when the primary is suspected to have failed
- * @param shuttingDown true when the primary has announced its shutdown
+ * @param shuttingDown true when the primary, or the one being replaced, has announced its shutdown
  * @param fenceInForce true when no proxy can act on the old primary any more
  * @param requiredResponses how many members must report their positions before one is chosen
  * @param knownMembers how many members have announced themselves
@@ -24,6 +25,8 @@
  * @param collectingForMillis how long positions have been collected
  * @param promotionResponse the candidate's response to the promotion, or null
  * @param promotingForMillis how long the promotion has been running
+ * @param eligibility which members may become primary
+ * @param evacuationPaused true while a further switchover because of an evacuation must wait
  */
 public record FailoverView(
         FailoverPhase phase,
@@ -41,7 +44,9 @@
         Map<EndpointId, MemberPosition> positions,
         long collectingForMillis,
         MemberPosition promotionResponse,
-        long promotingForMillis) {
+        long promotingForMillis,
+        PrimaryEligibility eligibility,
+        boolean evacuationPaused) {
     public FailoverView {
         positions = Map.copyOf(positions);
     }
