--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -52,6 +52,7 @@
     private final FailoverPolicy policy;
     private final FailoverTimings timings;
     private final Map<EndpointId, MemberPosition> positions = new HashMap<>();
+    private final SwitchoverBackoff backoff = new SwitchoverBackoff();
     private FailoverPhase lastPhase;
     private long fenceVersion;
     private long collectStartNanos;
@@ -61,7 +62,6 @@
     private long promoteStartNanos;
     private boolean promoting;
     private long lastReinstatedNanos;
-    private final SwitchoverBackoff backoff = new SwitchoverBackoff();
     private FailoverStep lastStep;
     private AllowedRegions regions = AllowedRegions.ANY;
     private long regionsVersion = -1;
@@ -100,6 +100,11 @@
         FailoverPhase phase = step == null ? null : FailoverPhase.valueOf(step.getPhase());
         PrimaryEligibility eligibility = eligibility(configuration);
         if (phase != lastPhase) {
+            if (lastPhase == null) {
+                LOG.infof(
+                        "group %s: replacing %s, planned %b: %s",
+                        group, step.getReplacedEndpointId(), step.getPlanned(), step.getReason());
+            }
             onPhaseChange(phase, configuration.version());
         }
         updateBackoff(configuration, step, eligibility);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/system/FailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/system/FailoverTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.chivevale.load.deployment.Deployment;
 import org.chivevale.load.run.LoadPlan;
 import org.chivevale.load.run.LoadReport;
@@ -40,17 +41,19 @@
     }
 
     private String awaitPrimary() {
-        Deployment.await("group has a primary", () -> !deployment.primaryOf(GROUP).isEmpty());
-        return deployment.primaryOf(GROUP);
+        return awaitNewPrimary("");
     }
 
-    private void awaitNewPrimary(String oldPrimary) {
+    /** Decides on one status and returns its primary, which a second one might no longer have. */
+    private String awaitNewPrimary(String oldPrimary) {
+        AtomicReference<String> found = new AtomicReference<>("");
         Deployment.await(
                 "group has a new primary",
                 () -> {
-                    String current = deployment.primaryOf(GROUP);
-                    return !current.isEmpty() && !current.equals(oldPrimary);
+                    found.set(deployment.primaryOf(GROUP));
+                    return !found.get().isEmpty() && !found.get().equals(oldPrimary);
                 });
+        return found.get();
     }
 
     private void assertGuaranteesHeld(LoadReport report) {
@@ -93,11 +96,7 @@
         sleep(1500);
         String oldPrimary = awaitPrimary();
         deployment.endpoints().get(oldPrimary).process().kill();
-        Deployment.await(
-                "group has a new primary",
-                () ->
-                        !deployment.primaryOf(GROUP).isEmpty()
-                                && !deployment.primaryOf(GROUP).equals(oldPrimary));
+        awaitNewPrimary(oldPrimary);
         sleep(500);
         deployment.endpoints().get(oldPrimary).process().start();
         LoadReport report = loaded.awaitReport();
@@ -111,11 +110,7 @@
         sleep(1500);
         String oldPrimary = awaitPrimary();
         deployment.injectFault(oldPrimary, "{\"silent\": true}");
-        Deployment.await(
-                "group has a new primary",
-                () ->
-                        !deployment.primaryOf(GROUP).isEmpty()
-                                && !deployment.primaryOf(GROUP).equals(oldPrimary));
+        awaitNewPrimary(oldPrimary);
         sleep(500);
         deployment.injectFault(oldPrimary, "{\"silent\": false}");
         LoadReport report = loaded.awaitReport();
@@ -135,11 +130,7 @@
                                 .createObjectNode()
                                 .put("kind", "hand-over")
                                 .put("group", GROUP));
-        Deployment.await(
-                "group has a new primary",
-                () ->
-                        !deployment.primaryOf(GROUP).isEmpty()
-                                && !deployment.primaryOf(GROUP).equals(oldPrimary));
+        awaitNewPrimary(oldPrimary);
         LoadReport report = loaded.awaitReport();
         assertGuaranteesHeld(report);
     }
@@ -150,11 +141,7 @@
         sleep(1500);
         String oldPrimary = awaitPrimary();
         deployment.endpoints().get(oldPrimary).process().requestStop();
-        Deployment.await(
-                "group has a new primary",
-                () ->
-                        !deployment.primaryOf(GROUP).isEmpty()
-                                && !deployment.primaryOf(GROUP).equals(oldPrimary));
+        awaitNewPrimary(oldPrimary);
         Deployment.await(
                 "endpoint process has exited",
                 () -> !deployment.endpoints().get(oldPrimary).process().isAlive());
