--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -98,7 +98,9 @@
         Configuration configuration = log.configuration();
         FailoverStep step = configuration.failovers().get(group.toString());
         FailoverPhase phase = step == null ? null : FailoverPhase.valueOf(step.getPhase());
-        PrimaryEligibility eligibility = eligibility(configuration);
+        boolean isEligibilityNeeded = phase != null || !configuration.evacuations().isEmpty();
+        PrimaryEligibility eligibility =
+                isEligibilityNeeded ? eligibility(configuration) : PrimaryEligibility.UNRESTRICTED;
         if (phase != lastPhase) {
             if (lastPhase == null) {
                 LOG.infof(
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
@@ -144,6 +144,27 @@
         runUntilPrimary("e-3");
     }
 
+    @Test
+    void aCandidateThatIsNoLongerInTheRegionsIsNotPromoted() {
+        group.member(2).refusesPromotion = true;
+        group.evacuate(1);
+        group.runUntil(() -> group.phase().equals("PROMOTING"));
+        group.allowRegions(List.of("r-3"));
+        group.member(2).refusesPromotion = false;
+        runUntilPrimary("e-3");
+        assertEquals(0, group.member(2).promotions);
+    }
+
+    /** Proxies need not probe an evacuated primary, so nobody may suspect one that has failed. */
+    @Test
+    void anEvacuatedPrimaryThatHasFailedIsReplacedByTheMostUpToDateReplica() {
+        group.member(1).alive = false;
+        group.member(2).position = 9;
+        group.evacuate(1);
+        runUntilPrimary("e-3");
+        assertEquals(1, group.fences);
+    }
+
     /** Guards against a failover that is logged and executed as planned, or the reverse. */
     @Test
     void aSuspicionIsUnplannedAndAShutdownIsPlanned() {
