Test the handover of silent and leaving primaries

Cause: trials that removed the wait for a silent evacuated primary, or the handover of a leaving one to an evacuated replica, passed all tests. Change: an example for each in PlacementProperties.

--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/PlacementProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/PlacementProperties.java
@@ -162,7 +162,7 @@
                                 new MemberPlace(B, "r-2", "dc-2", true),
                                 new MemberPlace(C, "r-3", "dc-3", true)));
         for (List<EndpointId> answering : List.of(List.of(B), List.of(B, C))) {
-            FailoverAction action = policy.next(fenced(eligibility, answering));
+            FailoverAction action = policy.next(fenced(eligibility, answering, false, false, 10));
             assertTrue(
                     action instanceof FailoverAction.Blocked blocked
                             && blocked.reason().contains("regions [r-1]"),
@@ -170,25 +170,64 @@
         }
     }
 
-    private static FailoverView fenced(PrimaryEligibility eligibility, List<EndpointId> answering) {
+    /** The primary alone may hold acknowledged writes if it acknowledges without replicas. */
+    @Example
+    void aPlannedSwitchoverOfAnEvacuatedPrimaryAwaitsItsPosition() {
+        PrimaryEligibility eligibility = evacuated(List.of("dc-1"));
+        assertInstanceOf(
+                FailoverAction.Blocked.class,
+                policy.next(fenced(eligibility, List.of(B, C), true, false, 1500)));
+        assertEquals(
+                new FailoverAction.Choose(C),
+                policy.next(fenced(eligibility, List.of(B, C), true, false, 1501)));
+    }
+
+    /** Guards against a primary that shuts down without a successor. */
+    @Example
+    void aPrimaryThatShutsDownIsHandedOverToAnEvacuatedReplicaIfNoOtherIsLeft() {
+        PrimaryEligibility eligibility = evacuated(List.of("dc-1", "dc-2", "dc-3"));
+        assertEquals(
+                new FailoverAction.Choose(B),
+                policy.next(fenced(eligibility, List.of(A, B, C), true, true, 10)));
+        assertEquals(
+                new FailoverAction.Reinstate(A),
+                policy.next(fenced(eligibility, List.of(A, B, C), true, false, 1501)));
+    }
+
+    private static PrimaryEligibility evacuated(List<String> dataCenters) {
+        return FailoverViews.eligibility(
+                FailoverViews.configuration(List.of(), dataCenters),
+                List.of(
+                        new MemberPlace(A, "r-1", "dc-1", false),
+                        new MemberPlace(B, "r-2", "dc-2", true),
+                        new MemberPlace(C, "r-3", "dc-3", true)));
+    }
+
+    private static FailoverView fenced(
+            PrimaryEligibility eligibility,
+            List<EndpointId> answering,
+            boolean planned,
+            boolean shuttingDown,
+            long collectingForMillis) {
         Map<EndpointId, MemberPosition> positions = new HashMap<>();
-        answering.forEach(
-                id -> positions.put(id, new MemberPosition(id, false, FailoverViews.TERM, 7)));
+        for (EndpointId id : answering) {
+            positions.put(id, new MemberPosition(id, id.equals(A), FailoverViews.TERM, 7));
+        }
         return new FailoverView(
                 FailoverPhase.FENCING,
                 FailoverViews.TERM,
                 null,
                 A,
                 null,
-                false,
+                planned,
                 null,
                 false,
-                false,
+                shuttingDown,
                 true,
                 2,
                 3,
                 positions,
-                10,
+                collectingForMillis,
                 null,
                 10,
                 eligibility,
