Read the boot clock without starting a program

Cause: JNA runs ldconfig to find library folders when the clock is first read, though a process may start no other; on a start that is also time. Change: the clock's function is taken from the process itself, and JNA gets an empty search path.

--- a/org.chivevale.process/src/main/java/org/chivevale/process/BootClock.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/BootClock.java
@@ -25,10 +25,19 @@
 
     /** Native method of the C library; bound when the clock is first read. */
     private static final class LibC {
+        /**
+         * Where JNA looks for libraries. Unless set, JNA starts the program ldconfig to find out,
+         * which a process must not do; the functions here are linked into the process already.
+         */
+        private static final String LIBRARY_PATH_PROPERTY = "jna.platform.library.path";
+
         static {
+            if (System.getProperty(LIBRARY_PATH_PROPERTY) == null) {
+                System.setProperty(LIBRARY_PATH_PROPERTY, "");
+            }
             FunctionMapper names = (library, method) -> "clock_gettime";
             Map<String, Object> options = Map.of(Library.OPTION_FUNCTION_MAPPER, names);
-            Native.register(LibC.class, NativeLibrary.getInstance("c", options));
+            Native.register(LibC.class, NativeLibrary.getProcess(options));
         }
 
         private LibC() {}
