Add up the usage of ended proxy incarnations

Cause: control kept a map of counters for every incarnation that a proxy ever had. Change: AccountUses keeps the latest incarnation of each proxy and adds up the others.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.Map;
-import java.util.TreeMap;
 import org.chivevale.control.ControlSettings;
 import org.chivevale.control.internal.failover.FailoverService;
 import org.chivevale.control.internal.failover.FailoverTimings;
@@ -175,33 +173,19 @@
     }
 
     ObjectNode report() {
-        Map<String, long[]> sums = new TreeMap<>();
-        for (Map<String, AccountUse> ofProxy : fleet.accountUses().values()) {
-            ofProxy.values().forEach(use -> add(sums, use));
-        }
         ObjectNode out = MAPPER.createObjectNode();
         ArrayNode accounts = out.putArray("accounts");
-        sums.forEach(
-                (account, sum) ->
-                        accounts.addObject()
-                                .put("account", account)
-                                .put("served", sum[0])
-                                .put("served_within_objective", sum[1])
-                                .put("refused_rate", sum[2])
-                                .put("failed", sum[3])
-                                .put("replica_reads", sum[4])
-                                .put("reads", sum[5]));
+        for (AccountUse use : fleet.accountUses().sums().values()) {
+            accounts.addObject()
+                    .put("account", use.getAccountId())
+                    .put("served", use.getServed())
+                    .put("served_within_objective", use.getServedWithinObjective())
+                    .put("refused_rate", use.getRefusedRate())
+                    .put("failed", use.getFailed())
+                    .put("replica_reads", use.getReplicaReads())
+                    .put("reads", use.getReads());
+        }
         writeFailovers(out.putArray("failovers"));
         return out;
     }
-
-    private static void add(Map<String, long[]> sums, AccountUse use) {
-        long[] sum = sums.computeIfAbsent(use.getAccountId(), key -> new long[6]);
-        sum[0] += use.getServed();
-        sum[1] += use.getServedWithinObjective();
-        sum[2] += use.getRefusedRate();
-        sum[3] += use.getFailed();
-        sum[4] += use.getReplicaReads();
-        sum[5] += use.getReads();
-    }
 }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -24,7 +24,6 @@
 import org.chivevale.wire.FrameConnection;
 import org.chivevale.wire.FrameListener;
 import org.chivevale.wire.FrameServer;
-import org.chivevale.wire.proto.AccountUse;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.ChangePush;
 import org.chivevale.wire.proto.DesiredStored;
@@ -61,7 +60,7 @@
     private final ControlSettings settings;
     private FleetShares shares;
     private final Map<GroupId, FailureDetector> failureDetectors = new HashMap<>();
-    private final Map<String, Map<String, AccountUse>> accountUses = new HashMap<>();
+    private final AccountUses accountUses = new AccountUses();
 
     /** Connections of proxies; true for a proxy that needs the endpoints only. */
     private final Map<FrameConnection, Boolean> connections = new HashMap<>();
@@ -339,7 +338,7 @@
         }
         long leaseNanos = leases.grant(holder, request.getConfigVersion(), now);
         reportHealth(request, now);
-        recordAccountUses(request);
+        accountUses.report(proxy.id(), proxy.incarnation(), request.getAccountUsesList());
         RenewAnswer.Builder answer =
                 RenewAnswer.newBuilder()
                         .setGranted(true)
@@ -377,16 +376,6 @@
         }
     }
 
-    private void recordAccountUses(RenewRequest request) {
-        Map<String, AccountUse> ofProxy =
-                accountUses.computeIfAbsent(
-                        holder(request.getProxyId(), request.getIncarnation()),
-                        key -> new HashMap<>());
-        for (AccountUse use : request.getAccountUsesList()) {
-            ofProxy.put(use.getAccountId(), use);
-        }
-    }
-
     private void addConfiguration(RenewAnswer.Builder answer, long knownVersion) {
         answer.setConfigVersion(state.configuration().version());
         List<LogEntry> entries = state.entriesAfter(knownVersion);
@@ -476,11 +465,11 @@
     }
 
     /**
-     * Returns the usage counters that proxies have reported, by proxy and client account.
+     * Returns the usage counters that proxies have reported.
      *
-     * @return counters since the start of each proxy
+     * @return the counters, to be used on the event loop
      */
-    public Map<String, Map<String, AccountUse>> accountUses() {
+    public AccountUses accountUses() {
         return accountUses;
     }
 
