Take orders to evacuate and restore a data centre

Cause: an operator had no way to take the endpoints of a data centre out of service. Change: control takes both orders as intents and for adapters, stores them in the log, marks endpoints as cold in the entry that withdraws an order, and shows on how many proxies it is in force.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlKernel.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlKernel.java
@@ -54,7 +54,7 @@
                         FailoverService.NAME,
                         new FailoverService(connectorFactory, policy),
                         FleetService.NAME)
-                .register(IntentService.NAME, new IntentService(), LogService.NAME)
+                .register(IntentService.NAME, new IntentService(), FleetService.NAME)
                 .register(DeploymentService.NAME, new DeploymentService(), FleetService.NAME);
     }
 }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -1,14 +1,17 @@
 package org.chivevale.control.deployment;
 
 import io.vertx.core.Future;
+import java.util.Collection;
 import org.chivevale.control.internal.fleet.EndpointRegistry;
 import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
+import org.chivevale.control.internal.fleet.KnownDataCenters;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.ConfigurationDiff;
 import org.chivevale.core.config.Database;
 import org.chivevale.core.config.DesiredConfiguration;
+import org.chivevale.core.config.EvacuationChanges;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.group.EndpointId;
@@ -18,7 +21,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Replaces and returns whole configurations and registers endpoints, for an adapter.
+ * Replaces and returns whole configurations, registers endpoints and takes evacuation orders, for
+ * an adapter.
  *
  * <p>Invariants: a configuration is in effect once it is committed; the highest version wins, and a
  * lower or equal one changes nothing; only a leader that holds its lease serves requests. Used on
@@ -34,11 +38,14 @@
 
     private LogService log;
     private EndpointRegistry endpoints;
+    private KnownDataCenters dataCenters;
 
     @Override
     public void start(Kernel kernel) {
         log = kernel.find(LogService.NAME, LogService.class);
-        endpoints = new EndpointRegistry(log, kernel.find(FleetService.NAME, FleetService.class));
+        FleetService fleet = kernel.find(FleetService.NAME, FleetService.class);
+        endpoints = new EndpointRegistry(log, fleet);
+        dataCenters = fleet.dataCenters();
     }
 
     /**
@@ -96,6 +103,60 @@
         return log.state().configuration().desired().getSource().toByteArray();
     }
 
+    /**
+     * Adds data centres that the adapter's settings list, so that orders may name them.
+     *
+     * @param names the data centres
+     */
+    public void addDataCenters(Collection<String> names) {
+        dataCenters.add(names);
+    }
+
+    /**
+     * Orders that no new work goes to the endpoints of a data centre.
+     *
+     * @param dataCenter the data centre
+     * @return completes once the order is committed, at once if it is in force
+     * @throws ChivevaleException with INTENT_INVALID for an unknown data centre
+     */
+    public Future<Void> evacuate(String dataCenter) {
+        return order(
+                "evacuation of " + dataCenter,
+                now -> {
+                    dataCenters.require(dataCenter, now);
+                    return EvacuationChanges.evacuate(
+                            now, dataCenter, OPERATOR, System.currentTimeMillis());
+                });
+    }
+
+    /**
+     * Withdraws the order to evacuate a data centre.
+     *
+     * @param dataCenter the data centre
+     * @return completes once the withdrawal is committed, at once if no evacuation is in force
+     * @throws ChivevaleException with INTENT_INVALID for an unknown data centre
+     */
+    public Future<Void> restore(String dataCenter) {
+        return order(
+                "end of the evacuation of " + dataCenter,
+                now -> {
+                    dataCenters.require(dataCenter, now);
+                    return EvacuationChanges.restore(now, dataCenter);
+                });
+    }
+
+    private Future<Void> order(String what, LogService.ChangeBuilder changes) {
+        return log.propose(OPERATOR, "", changes)
+                .onSuccess(
+                        version ->
+                                LOG.infof(
+                                        "%s: %s",
+                                        what,
+                                        version == 0 ? "already in force" : "version " + version))
+                .onFailure(failure -> LOG.warnf("%s not taken: %s", what, failure.getMessage()))
+                .mapEmpty();
+    }
+
     /**
      * Registers an endpoint or updates its registration.
      *
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
@@ -8,6 +8,7 @@
 import org.chivevale.control.ControlSettings;
 import org.chivevale.control.internal.failover.FailoverService;
 import org.chivevale.control.internal.failover.FailoverTimings;
+import org.chivevale.control.internal.fleet.EvacuationTracker;
 import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.fleet.InForceTracker;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
@@ -72,6 +73,7 @@
                 write(groups.addObject(), configuration, new GroupId(database.name(), slot));
             }
         }
+        writeEvacuations(status.putArray("evacuations"));
         writeChanges(status.putArray("changes"));
         writeFailovers(status.putArray("failovers"));
         return status;
@@ -100,6 +102,19 @@
         }
     }
 
+    private void writeEvacuations(ArrayNode out) {
+        for (EvacuationTracker.Progress progress : fleet.evacuations().progress()) {
+            out.addObject()
+                    .put("data_center", progress.evacuation().dataCenter())
+                    .put("operator", progress.evacuation().operatorId())
+                    .put("requested_unix_ms", progress.evacuation().requestedUnixMillis())
+                    .put("version", progress.version())
+                    .put("in_force_unix_ms", progress.inForceUnixMillis())
+                    .put("proxies_in_force", progress.proxiesInForce())
+                    .put("proxies", progress.proxies());
+        }
+    }
+
     private void writeChanges(ArrayNode out) {
         for (InForceTracker.TrackedEntry change : fleet.inForceTracker().trackedEntries()) {
             ObjectNode one = out.addObject();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -67,6 +67,8 @@
     private final Map<FrameConnection, Boolean> connections = new HashMap<>();
 
     private final InForceTracker inForceTracker = new InForceTracker();
+    private EvacuationTracker evacuations;
+    private KnownDataCenters dataCenters;
     private EventLoop loop;
     private LogService log;
     private ControlState state;
@@ -96,6 +98,8 @@
         loop = kernel.find(EventLoop.NAME, EventLoop.class);
         log = kernel.find(LogService.NAME, LogService.class);
         state = log.state();
+        evacuations = new EvacuationTracker(state.configuration());
+        dataCenters = new KnownDataCenters(settings.dataCenter(), () -> membership);
         registerMeters(kernel.find(Metrics.NAME, Metrics.class).registry());
         loop.runAndWait(
                 () -> {
@@ -114,6 +118,7 @@
                 Timer.builder("chivevale.control.change.in.force")
                         .publishPercentiles(0.5, 0.99)
                         .register(registry);
+        evacuations.registerMeters(registry);
         registry.gauge("chivevale.control.proxies", this, self -> self.proxyCount());
     }
 
@@ -133,6 +138,7 @@
         shares = new FleetShares(startUnixMillis, settings.connectionFloor(), now);
         membership = new Membership(state.configuration(), startUnixMillis << 16);
         rates = new RateOwners(state.configuration(), startUnixMillis << 16, now);
+        evacuations.reset();
         lastSeenVersion = state.configuration().version();
         loadEndpoints(now);
     }
@@ -157,9 +163,13 @@
         List<LogEntry> entries = state.entriesAfter(lastSeenVersion);
         lastSeenVersion = state.configuration().version();
         if (entries == null) {
+            membership.updateCold(List.of());
             membership.onConfigurationChange();
+            evacuations.update(List.of());
         } else {
             inForceTracker.track(entries);
+            membership.updateCold(entries);
+            evacuations.update(entries);
             if (entries.stream().anyMatch(FleetService::changesPrimary)) {
                 membership.onConfigurationChange();
             }
@@ -179,6 +189,9 @@
                 inForceTimer.record(Duration.ofMillis(tookMillis));
             }
         }
+        if (log.isLeader()) {
+            evacuations.tick(leases, now, System.currentTimeMillis());
+        }
         pushVersions();
     }
 
@@ -464,6 +477,24 @@
         return inForceTracker;
     }
 
+    /**
+     * Returns the progress of the evacuations.
+     *
+     * @return the tracker, to be used on the event loop
+     */
+    public EvacuationTracker evacuations() {
+        return evacuations;
+    }
+
+    /**
+     * Returns the data centres that an order may name.
+     *
+     * @return the data centres, to be used on the event loop
+     */
+    public KnownDataCenters dataCenters() {
+        return dataCenters;
+    }
+
     /**
      * Returns the failure detector of a group's primary.
      *
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
@@ -12,6 +12,7 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.ProxyMember;
 
 /**
@@ -25,6 +26,7 @@
     private final Configuration configuration;
     private final Map<String, Announced> instances = new TreeMap<>();
     private final Map<String, ProxyMemberState> proxies = new TreeMap<>();
+    private final ColdEndpoints coldEndpoints;
     private long version;
     private long endpointsVersion;
 
@@ -38,6 +40,7 @@
      */
     public Membership(Configuration configuration, long firstVersion) {
         this.configuration = configuration;
+        this.coldEndpoints = new ColdEndpoints(configuration);
         this.version = firstVersion;
         this.endpointsVersion = firstVersion;
     }
@@ -57,7 +60,8 @@
             return;
         }
         instances.put(key, new Announced(announcement, expiryNanos));
-        if (before == null || !before.announcement().equals(announcement)) {
+        boolean wasCold = coldEndpoints.onAnnounced(announcement);
+        if (wasCold || before == null || !before.announcement().equals(announcement)) {
             onEndpointsChanged();
         }
     }
@@ -106,6 +110,19 @@
         endpointsVersion++;
     }
 
+    /**
+     * Updates which endpoints are cold after entries of the log were applied.
+     *
+     * @param entries the entries
+     */
+    public void updateCold(List<LogEntry> entries) {
+        List<InstanceAnnouncement> live =
+                instances.values().stream().map(Announced::announcement).toList();
+        if (coldEndpoints.update(entries, live)) {
+            onEndpointsChanged();
+        }
+    }
+
     /** Increases the versions, since a new primary changes which instances may serve reads. */
     public void onConfigurationChange() {
         onEndpointsChanged();
@@ -257,6 +274,7 @@
                 .setLeaving(instance.shuttingDown())
                 .setConnectionLimit(instance.connectionLimit())
                 .setInServiceTerm(inServiceTerm(instance))
+                .setCold(coldEndpoints.isCold(instance))
                 .build();
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/IntentPlanner.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/IntentPlanner.java
@@ -80,6 +80,8 @@
                     "database:" + intent.text("database");
             case "route-open", "route-close" -> "route:" + intent.text("name");
             case "operator-create" -> "operator:" + intent.text("operator");
+            case EvacuationIntents.EVACUATE, EvacuationIntents.RESTORE ->
+                    "datacenter:" + intent.text("data_center");
             default -> "group:" + intent.text("group");
         };
     }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ChangedObjects.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ChangedObjects.java
@@ -43,6 +43,9 @@
             case OPEN_ROUTE_PUT -> "route:" + change.getOpenRoutePut().getName();
             case OPEN_ROUTE_REMOVED -> "route:" + change.getOpenRouteRemoved().getName();
             case OPERATOR_PUT -> "operator:" + change.getOperatorPut().getOperatorId();
+            case EVACUATION_PUT -> "datacenter:" + change.getEvacuationPut().getDataCenter();
+            case EVACUATION_REMOVED ->
+                    "datacenter:" + change.getEvacuationRemoved().getDataCenter();
             default -> "";
         };
     }
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
@@ -88,6 +88,12 @@
                 .withDescription("Database groups and their primaries")
                 .withCommands(
                         DatabaseCommands.Switchover.class, DatabaseCommands.PromoteWithLoss.class);
+        builder.withGroup("datacenter")
+                .withDescription("Evacuation of data centres")
+                .withCommands(
+                        DataCenterCommands.Evacuate.class,
+                        DataCenterCommands.Restore.class,
+                        DataCenterCommands.EvacuationStatus.class);
         builder.withGroup("route")
                 .withDescription("Read-only routes that are open without a key")
                 .withCommands(RouteCommands.RouteOpen.class, RouteCommands.RouteClose.class);
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/StatusText.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/StatusText.java
@@ -1,6 +1,7 @@
 package org.chivevale.ctl;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
 
 /**
  * Formats the status as text for operators.
@@ -33,6 +34,9 @@
         for (JsonNode group : status.path("groups")) {
             writeGroup(text, group);
         }
+        for (JsonNode evacuation : status.path("evacuations")) {
+            writeEvacuation(text, evacuation);
+        }
         JsonNode changes = status.path("changes");
         for (int i = Math.max(0, changes.size() - CHANGES_SHOWN); i < changes.size(); i++) {
             writeChange(text, changes.get(i));
@@ -64,6 +68,34 @@
         }
     }
 
+    /**
+     * Formats the evacuations alone.
+     *
+     * @param status the response of {@code /v1/status}
+     * @return one line for each, without a line break at the end
+     */
+    public static String writeEvacuations(JsonNode status) {
+        StringBuilder text = new StringBuilder();
+        for (JsonNode evacuation : status.path("evacuations")) {
+            writeEvacuation(text, evacuation);
+        }
+        return text.isEmpty() ? "no data centre is evacuated" : text.toString().stripTrailing();
+    }
+
+    private static void writeEvacuation(StringBuilder text, JsonNode evacuation) {
+        long inForce = evacuation.path("in_force_unix_ms").asLong();
+        text.append("data centre ").append(evacuation.path("data_center").asText());
+        text.append(" evacuated by ").append(evacuation.path("operator").asText());
+        text.append(" at ")
+                .append(Instant.ofEpochMilli(evacuation.path("requested_unix_ms").asLong()));
+        text.append(", in force on ").append(evacuation.path("proxies_in_force").asLong());
+        text.append(" of ").append(evacuation.path("proxies").asLong()).append(" proxies");
+        if (inForce > 0) {
+            text.append(", everywhere since ").append(Instant.ofEpochMilli(inForce));
+        }
+        text.append('\n');
+    }
+
     private static void writeChange(StringBuilder text, JsonNode change) {
         long accepted = change.path("accepted_unix_ms").asLong();
         long inForce = change.path("in_force_unix_ms").asLong();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -11,7 +11,9 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.lease.LeaseHolder;
+import org.chivevale.core.route.EndpointAvailability;
 import org.chivevale.core.settings.HostPort;
+import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.EndpointMember;
@@ -30,6 +32,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Configuration configuration = new Configuration();
+    private final EndpointAvailability availability = new EndpointAvailability(configuration);
     private final LeaseHolder lease;
     private final Map<String, List<EndpointMember>> endpointsByGroup = new HashMap<>();
     private final Map<String, ProxyMember> proxies = new HashMap<>();
@@ -75,6 +78,7 @@
         if (answer.getMembersIncluded()) {
             updateMembers(answer);
         }
+        availability.onConfigurationChange(EventLoop.nowNanos());
         if (configuration.version() >= answer.getConfigVersion()) {
             lease.onGranted(sentAtNanos, answer.getLeaseMillis() * NANOS_PER_MILLI);
         }
@@ -114,6 +118,7 @@
 
     private void updateMembers(RenewAnswer answer) {
         membersVersion = answer.getMembersVersion();
+        availability.setMembers(answer.getEndpointsList());
         endpointsByGroup.clear();
         for (EndpointMember member : answer.getEndpointsList()) {
             endpointsByGroup
@@ -171,11 +176,30 @@
         return isLeased(nowNanos) && current.term() == term && primary.equals(current.primary());
     }
 
+    /**
+     * Returns which endpoints may get work while data centres are evacuated.
+     *
+     * @return the live object, which callers must not change
+     */
+    public EndpointAvailability availability() {
+        return availability;
+    }
+
+    /**
+     * Returns why a request for a group must not wait for an endpoint.
+     *
+     * @param group the group
+     * @return the reason; null when the request may wait
+     */
+    public String rejection(GroupId group) {
+        return availability.rejection(group, members(group));
+    }
+
     /**
      * Lists the replicas that may serve reads in a group's term.
      *
      * @param group the group
-     * @return the members
+     * @return the members, without those that may not get new work
      */
     public List<EndpointMember> servingReplicas(Group group) {
         List<EndpointMember> serving = new ArrayList<>();
@@ -183,7 +207,10 @@
             boolean primary =
                     group.primary() != null
                             && member.getEndpointId().equals(group.primary().value());
-            if (!primary && member.getInServiceTerm() == group.term() && group.term() > 0) {
+            boolean inService = member.getInServiceTerm() == group.term() && group.term() > 0;
+            if (!primary
+                    && inService
+                    && availability.isOpen(group.id(), new EndpointId(member.getEndpointId()))) {
                 serving.add(member);
             }
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -44,6 +44,7 @@
     private int share;
     private int peakDemand;
     private boolean isClosed;
+    private boolean isBlocked;
 
     /**
      * A queued request for a connection.
@@ -86,7 +87,7 @@
                 return waiter;
             }
         }
-        if (isClosed || isFull()) {
+        if (isClosed || isBlocked || isFull()) {
             callback.accept(null);
             return waiter;
         }
@@ -145,7 +146,8 @@
                 return candidate;
             }
         }
-        boolean mayConnect = !isClosed && EventLoop.nowNanos() - connectAfterNanos >= 0;
+        boolean mayConnect =
+                !isClosed && !isBlocked && EventLoop.nowNanos() - connectAfterNanos >= 0;
         if (!mayConnect) {
             return null;
         }
@@ -214,7 +216,7 @@
 
     /** Returns a connection to the pool; {@code keep} is false when it must be closed. */
     void release(PooledConnection connection, boolean keep) {
-        if (!keep || !connection.isUsable() || open.size() > share || isClosed) {
+        if (!keep || !connection.isUsable() || open.size() > share || isClosed || isBlocked) {
             closeConnection(connection);
         } else {
             connection.setIdleSince(EventLoop.nowNanos());
@@ -298,9 +300,28 @@
         return demand;
     }
 
+    /**
+     * Sets whether the endpoint gets no new work: closes idle connections, fails the waiters, and
+     * opens no connection until work is allowed again.
+     */
+    void setBlocked(boolean blocked) {
+        isBlocked = blocked;
+        if (blocked) {
+            closeIdleAndFailWaiters();
+        }
+    }
+
+    boolean isBlocked() {
+        return isBlocked;
+    }
+
     /** Closes the pool; connections in use are closed when they are released. */
     void close() {
         isClosed = true;
+        closeIdleAndFailWaiters();
+    }
+
+    private void closeIdleAndFailWaiters() {
         List<PooledConnection> unused = new ArrayList<>(idle);
         idle.clear();
         unused.forEach(this::closeConnection);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -28,6 +28,7 @@
     private boolean hasWritten;
     private boolean settingsChanged;
     private boolean hasFailed;
+    private String abortReason = "";
     private long idleSinceNanos = EventLoop.nowNanos();
 
     /**
@@ -182,6 +183,25 @@
                                                                 == TransactionState.NONE));
     }
 
+    /** Rolls back if the endpoint's data centre is evacuated and the time to end has passed. */
+    public void rollBackIfEvacuated() {
+        if (connection != null && !hasFailed && !engine.mayContinue(placement)) {
+            abortReason = engine.closedReason(placement);
+            rollBack();
+        }
+    }
+
+    /**
+     * Takes the reason for which the proxy has rolled the transaction back.
+     *
+     * @return the reason, once; empty when there is none or it was taken
+     */
+    public String takeAbortReason() {
+        String reason = abortReason;
+        abortReason = "";
+        return reason;
+    }
+
     /**
      * Returns how long the transaction has been idle.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -44,14 +44,31 @@
         return new GroupId(route.database(), ONLY_SLOT);
     }
 
-    /** Returns the primary's placement, or null while the group has none or it is being fenced. */
+    /**
+     * Returns the primary's placement, or null while the group has none, it is being fenced or may
+     * not get new work.
+     */
     Placement selectPrimary(Route route) {
         Group group = directory.configuration().group(groupOf(route));
-        return group.primary() == null || directory.isFencing(group.id())
+        boolean hasPrimary = group.primary() != null && !directory.isFencing(group.id());
+        return !hasPrimary || !directory.availability().isOpen(group.id(), group.primary())
                 ? null
                 : new Placement(pools.primaryPool(group), group, true, null);
     }
 
+    /** Returns why a request is rejected at once when it has no placement; null when it waits. */
+    String rejection(Route route) {
+        return directory.rejection(groupOf(route));
+    }
+
+    /** Returns why the primary gets no new work; empty when it does or there is none. */
+    String primaryReason(Route route) {
+        Group group = directory.configuration().group(groupOf(route));
+        return group.primary() == null
+                ? ""
+                : directory.availability().reason(group.id(), group.primary());
+    }
+
     /**
      * Returns the best placement for a read, or null while there is none.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -12,6 +12,7 @@
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.Statement.Prepared;
+import org.chivevale.database.MemberTarget;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
@@ -77,6 +78,36 @@
                 now);
     }
 
+    /** Returns true while the endpoint of a placement may get a new statement. */
+    boolean isOpen(Placement placement) {
+        MemberTarget target = placement.pool().target();
+        return directory.availability().isOpen(target.group(), target.endpoint());
+    }
+
+    /** Returns true while a transaction that is open at a placement may go on. */
+    boolean mayContinue(Placement placement) {
+        MemberTarget target = placement.pool().target();
+        return directory
+                .availability()
+                .mayContinue(target.group(), target.endpoint(), EventLoop.nowNanos());
+    }
+
+    /** Returns why the endpoint of a placement gets no new statement; empty when it does. */
+    String closedReason(Placement placement) {
+        MemberTarget target = placement.pool().target();
+        return directory.availability().reason(target.group(), target.endpoint());
+    }
+
+    /** Returns why a request without a placement is rejected at once; null when it waits. */
+    String rejection(Route route) {
+        return selector.rejection(route);
+    }
+
+    /** Returns why the primary of a route gets no new statement; empty when it does. */
+    String primaryReason(Route route) {
+        return selector.primaryReason(route);
+    }
+
     /** Returns true once the endpoint selected as primary has been replaced or its term ended. */
     boolean isReplaced(Placement placement) {
         Group current = directory.configuration().group(placement.group().id());
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -188,7 +188,22 @@
         removed.removeAll(known);
         removed.forEach(target -> pools.remove(target).close());
         for (MemberTarget target : known) {
-            findOrCreatePool(target);
+            updateBlocked(findOrCreatePool(target));
+        }
+    }
+
+    /** Stops work at an endpoint in an evacuated data centre, and allows it again later. */
+    private void updateBlocked(EndpointPool pool) {
+        MemberTarget target = pool.target();
+        String reason = directory.availability().reason(target.group(), target.endpoint());
+        boolean blocked = !reason.isEmpty();
+        if (blocked != pool.isBlocked()) {
+            LOG.infof(
+                    "endpoint %s of %s %s",
+                    target.endpoint(),
+                    target.group(),
+                    blocked ? "gets no new work: " + reason : "may get work again");
+            pool.setBlocked(blocked);
         }
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -187,7 +187,13 @@
                 engine.selectPlacement(
                         context.route(), operation.primaryOnly(), context.lastCommit(), excluded);
         if (placement == null) {
-            lastDetail = "no endpoint can serve";
+            String rejection = engine.rejection(context.route());
+            if (rejection != null) {
+                fail(SessionError.BUSY, rejection);
+                return;
+            }
+            String reason = engine.primaryReason(context.route());
+            lastDetail = reason.isEmpty() ? "no endpoint can serve" : reason;
             if (!excluded.isEmpty()) {
                 excluded.clear();
             }
@@ -238,6 +244,17 @@
             }
             return;
         }
+        if (!isPinned && !engine.isOpen(placement)) {
+            releaseConnection(true);
+            selectPlacement();
+            return;
+        }
+        if (isPinned && !engine.mayContinue(placement)) {
+            String reason = engine.closedReason(placement);
+            closeConnection();
+            fail(SessionError.ABORTED, reason);
+            return;
+        }
         attempts++;
         connection.applySettings(context.settings());
         Statement statement = operation.statement();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -237,7 +237,12 @@
         } else if (statement instanceof Statement.Commit) {
             commit(id);
         } else if (transaction.hasFailed()) {
-            fail(id, SessionError.MALFORMED, "the transaction has failed");
+            String reason = transaction.takeAbortReason();
+            boolean wasAborted = !reason.isEmpty();
+            fail(
+                    id,
+                    wasAborted ? SessionError.ABORTED : SessionError.MALFORMED,
+                    wasAborted ? reason : "the transaction has failed");
         } else if (!handleLocally(id, statement)) {
             executeInTransaction(id, statement);
         }
@@ -246,12 +251,13 @@
     private void commit(String id) {
         OpenTransaction committing = transaction;
         if (committing.hasFailed()) {
+            String reason = committing.takeAbortReason();
             committing.rollBack();
             transaction = null;
             complete(
                     SessionResult.failed(
                             SessionError.ABORTED,
-                            "the transaction had failed",
+                            reason.isEmpty() ? "the transaction had failed" : reason,
                             TransactionState.NONE));
             return;
         }
@@ -377,6 +383,9 @@
         if (idle) {
             transaction.rollBack();
         }
+        if (transaction != null && !isBusy) {
+            transaction.rollBackIfEvacuated();
+        }
     }
 
     /** Ends the session after its caller has disconnected; rolls back an open transaction. */
