Keep requests of HTTP callers from evacuated endpoints

Cause: reads, writes, probes and transactions of HTTP callers still went to endpoints in an evacuated data centre. Change: candidates, pools, probes, polls for replicas and steps of open transactions check whether the endpoint may get work; what no member outside can serve is rejected at once.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/health/Prober.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/health/Prober.java
@@ -141,7 +141,7 @@
         for (GroupId id : wanted) {
             Group group = directory.configuration().group(id);
             if (group.primary() != null && directory.isLeased(now)) {
-                newlySuspect |= probe(group, now);
+                newlySuspect |= probeIfOpen(group, now);
                 if (histories.isActive(id, now)) {
                     directory.servingReplicas(group).forEach(member -> probeReplica(group, member));
                 }
@@ -152,6 +152,15 @@
         }
     }
 
+    /** Probes a primary; forgets an earlier probe of one that gets no requests now. */
+    private boolean probeIfOpen(Group group, long nowNanos) {
+        if (!directory.availability().isOpen(group.id(), group.primary())) {
+            probes.remove(group.id());
+            return false;
+        }
+        return probe(group, nowNanos);
+    }
+
     private boolean probe(Group group, long nowNanos) {
         Probe probe = probes.computeIfAbsent(group.id(), key -> new Probe());
         InstancePool pool = pools.primaryPool(group);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
@@ -42,6 +42,7 @@
     private int peakDemand;
     private long connectAfterNanos;
     private boolean isClosed;
+    private boolean isBlocked;
 
     private record IdleConnection(DatabaseConnection connection, long idleSinceNanos) {}
 
@@ -94,6 +95,9 @@
             updatePeakDemand();
             return Future.succeededFuture(idleConnection);
         }
+        if (isBlocked) {
+            return Future.failedFuture(notServing());
+        }
         Promise<DatabaseConnection> promise = Promise.promise();
         if (!queue.offer(account, new WaitingRequest(account, promise), deadlineNanos)) {
             return Future.failedFuture(
@@ -139,7 +143,11 @@
     private void openIfNeeded() {
         long now = EventLoop.nowNanos();
         boolean isNeeded = queue.size() > openConnections - inUse - idleConnections.size();
-        if (isClosed || !isNeeded || openConnections >= share || now - connectAfterNanos < 0) {
+        if (isClosed
+                || isBlocked
+                || !isNeeded
+                || openConnections >= share
+                || now - connectAfterNanos < 0) {
             return;
         }
         openConnections++;
@@ -225,7 +233,7 @@
     }
 
     private void recycle(DatabaseConnection connection) {
-        if (!connection.usable() || openConnections > share || isClosed) {
+        if (!connection.usable() || openConnections > share || isClosed || isBlocked) {
             connection.close();
             openConnections--;
             openIfNeeded();
@@ -287,11 +295,34 @@
 
     /** Fails the waiting requests, so that they are retried on an instance that still serves. */
     void failWaitingRequests() {
-        failQueue(
-                new DatabaseFailure(
-                        DatabaseFailure.Kind.LOST_BEFORE_COMMIT,
-                        "",
-                        "endpoint instance " + key + " no longer serves requests"));
+        failQueue(notServing());
+    }
+
+    private DatabaseFailure notServing() {
+        return new DatabaseFailure(
+                DatabaseFailure.Kind.LOST_BEFORE_COMMIT,
+                "",
+                "endpoint instance " + key + " no longer serves requests");
+    }
+
+    /**
+     * Sets whether the instance gets no new work: closes idle connections and fails waiting
+     * requests.
+     *
+     * @param blocked true while no connection may be opened
+     */
+    void setBlocked(boolean blocked) {
+        isBlocked = blocked;
+        if (blocked) {
+            closeIdle();
+            failWaitingRequests();
+        } else {
+            openIfNeeded();
+        }
+    }
+
+    boolean isBlocked() {
+        return isBlocked;
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/PoolService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/PoolService.java
@@ -27,6 +27,7 @@
 import org.chivevale.wire.proto.EndpointMember;
 import org.chivevale.wire.proto.RenewAnswer;
 import org.chivevale.wire.proto.RenewRequest;
+import org.jboss.logging.Logger;
 
 /**
  * The connection pools of this proxy; a pool is created when its instance is first used.
@@ -37,6 +38,7 @@
     /** Service name in the kernel. */
     public static final String NAME = "pools";
 
+    private static final Logger LOG = Logger.getLogger(PoolService.class);
     private static final long TICK_MILLIS = 20;
     private static final long PROBE_INTERVAL_MILLIS = 250;
     private static final long SHARE_REQUEST_INTERVAL_NANOS = 100_000_000;
@@ -142,6 +144,7 @@
     private void onMembersChanged() {
         List<InstanceKey> removed = new ArrayList<>();
         for (InstancePool pool : pools.values()) {
+            updateBlocked(pool);
             if (!isServing(pool.key())) {
                 pool.failWaitingRequests();
             }
@@ -152,6 +155,17 @@
         removed.forEach(key -> pools.remove(key).close());
     }
 
+    /** Stops work at an endpoint in an evacuated data centre, and allows it again later. */
+    private void updateBlocked(InstancePool pool) {
+        InstanceKey key = pool.key();
+        String reason = directory.availability().reason(key.group(), key.endpoint());
+        boolean blocked = !reason.isEmpty();
+        if (blocked != pool.isBlocked()) {
+            LOG.infof("%s %s", key, blocked ? "gets no new work: " + reason : "may get work again");
+            pool.setBlocked(blocked);
+        }
+    }
+
     private boolean isServing(InstanceKey key) {
         Group group = directory.configuration().group(key.group());
         return key.endpoint().equals(group.primary())
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/ReadExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/ReadExecutor.java
@@ -84,6 +84,12 @@
         Map<String, InstancePool> pools = new HashMap<>();
         ReadChoice choice = router.choose(requirement, findCandidates(group, pools, now), now);
         if (choice == null) {
+            String rejection = context.directory().rejection(request.group());
+            if (rejection != null) {
+                return Future.failedFuture(
+                        new ChivevaleException(
+                                ResultCode.ENDPOINT_MISSING, Outcome.NOT_RUN, rejection));
+            }
             return retry(
                     ResultCode.ENDPOINT_MISSING, "group " + group.id() + ": no endpoint can serve");
         }
@@ -130,7 +136,7 @@
     private List<ReadCandidate> findCandidates(
             Group group, Map<String, InstancePool> pools, long nowNanos) {
         List<ReadCandidate> candidates = new ArrayList<>();
-        if (group.primary() != null) {
+        if (group.primary() != null && context.isOpen(group.id(), group.primary())) {
             InstancePool pool = context.pools().primaryPool(group);
             pools.put(group.primary().value(), pool);
             candidates.add(toCandidate(pool, true));
@@ -172,6 +178,10 @@
             InstancePool pool,
             ReadChoice choice,
             ReadRequirement requirement) {
+        if (!context.isOpen(pool.key().group(), pool.key().endpoint())) {
+            pool.release(connection);
+            return retry(ResultCode.ENDPOINT_MISSING, pool.key() + " gets no new work");
+        }
         long sentAtNanos = EventLoop.nowNanos();
         ProxySettings.Limits limits = context.settings().limits();
         Future<ReadResult> reading =
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestContext.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestContext.java
@@ -5,7 +5,9 @@
 import java.util.concurrent.TimeUnit;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.Outcome;
 import org.chivevale.core.errors.ResultCode;
+import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.database.DatabaseConnection;
 import org.chivevale.process.EventLoop;
@@ -79,19 +81,41 @@
         return vertx.timer(Math.max(1, millis), TimeUnit.MILLISECONDS).mapEmpty();
     }
 
-    /** Waits until the proxy holds a lease and the group has a primary. */
+    /** Returns whether an endpoint may get new work. */
+    boolean isOpen(GroupId group, EndpointId endpoint) {
+        return directory.availability().isOpen(group, endpoint);
+    }
+
+    private String closedReason(Group group) {
+        String reason =
+                group.primary() == null
+                        ? ""
+                        : directory.availability().reason(group.id(), group.primary());
+        return reason.isEmpty() ? "" : ": " + reason;
+    }
+
+    /**
+     * Waits until the proxy holds a lease and the group has a primary that may get work; fails at
+     * once when no live member outside evacuated data centres exists.
+     */
     public Future<Group> awaitPrimary(GroupId id, long deadlineNanos) {
         Group group = group(id);
         boolean leased = directory.isLeased(EventLoop.nowNanos());
-        if (leased && group.primary() != null) {
+        if (leased && group.primary() != null && isOpen(id, group.primary())) {
             return Future.succeededFuture(group);
         }
+        String rejection = leased ? directory.rejection(id) : null;
+        if (rejection != null) {
+            return Future.failedFuture(
+                    new ChivevaleException(
+                            ResultCode.ENDPOINT_MISSING, Outcome.NOT_RUN, rejection));
+        }
         ResultCode timeoutCode = leased ? ResultCode.PRIMARY_MISSING : ResultCode.LEASE_MISSING;
         return delay(
                         PRIMARY_POLL_MILLIS,
                         deadlineNanos,
                         timeoutCode,
-                        "waiting for a lease and a primary of group " + id)
+                        "waiting for a lease and a primary of group " + id + closedReason(group))
                 .compose(ignored -> awaitPrimary(id, deadlineNanos));
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestExecutor.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.errors.ChivevaleException;
@@ -83,6 +84,14 @@
             InstancePool pool,
             DatabaseConnection connection,
             long deadlineNanos) {
+        if (!context.isOpen(group.id(), group.primary())) {
+            pool.release(connection);
+            return Future.failedFuture(
+                    new DatabaseFailure(
+                            DatabaseFailure.Kind.LOST_BEFORE_COMMIT,
+                            "",
+                            "the primary of group " + group.id() + " gets no new work"));
+        }
         return withTimeout(connection.begin(account, group.term()), connection, deadlineNanos)
                 .onFailure(
                         failure -> {
@@ -123,6 +132,20 @@
                                         AttemptFailures.closeOnTimeout(failure, connection)));
     }
 
+    private static Future<StatementResult> executeIf(
+            BooleanSupplier mayContinue,
+            DatabaseConnection connection,
+            Statement statement,
+            ResultLimits limits) {
+        return mayContinue.getAsBoolean()
+                ? connection.execute(statement, limits)
+                : Future.failedFuture(
+                        new DatabaseFailure(
+                                DatabaseFailure.Kind.LOST_BEFORE_COMMIT,
+                                "",
+                                "the data centre of the transaction's endpoint was evacuated"));
+    }
+
     /**
      * Executes statements in a transaction, one after the other.
      *
@@ -130,20 +153,26 @@
      * @param statements the statements
      * @param limits limits on the size of the results
      * @param deadlineNanos the monotonic time by which they must end
+     * @param mayContinue checked before each statement is sent
      * @return the response with their results
      */
     public Future<CallerResponse> executeStatements(
             DatabaseConnection connection,
             List<Statement> statements,
             ResultLimits limits,
-            long deadlineNanos) {
+            long deadlineNanos,
+            BooleanSupplier mayContinue) {
         Future<List<StatementResult>> results = Future.succeededFuture(new ArrayList<>());
         for (Statement statement : statements) {
             results =
                     results.compose(
                             done ->
                                     withTimeout(
-                                                    connection.execute(statement, limits),
+                                                    executeIf(
+                                                            mayContinue,
+                                                            connection,
+                                                            statement,
+                                                            limits),
                                                     connection,
                                                     deadlineNanos)
                                             .map(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/WriteConfirmation.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/WriteConfirmation.java
@@ -49,16 +49,18 @@
         if (replicasHolding >= required) {
             return Future.succeededFuture(result);
         }
-        boolean stillPrimary =
-                context.directory()
-                        .isStillPrimary(
-                                group.id(), group.term(), group.primary(), EventLoop.nowNanos());
-        if (!stillPrimary) {
+        long now = EventLoop.nowNanos();
+        boolean mayPoll =
+                context.directory().isStillPrimary(group.id(), group.term(), group.primary(), now)
+                        && context.directory()
+                                .availability()
+                                .mayContinue(group.id(), group.primary(), now);
+        if (!mayPoll) {
             return Future.failedFuture(
                     new DatabaseFailure(
                             DatabaseFailure.Kind.LOST_AFTER_COMMIT,
                             "",
-                            "the lease ended or the primary was replaced before"
+                            "the lease ended or the primary was replaced or evacuated before"
                                     + " enough replicas received the write"));
         }
         return context.delay(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/WriteExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/WriteExecutor.java
@@ -62,13 +62,17 @@
             DatabaseConnection connection, Group group, InstancePool pool) {
         long sentAtNanos = EventLoop.nowNanos();
         boolean mayWrite =
-                context.directory()
-                        .isStillPrimary(group.id(), group.term(), group.primary(), sentAtNanos);
+                context.isOpen(group.id(), group.primary())
+                        && context.directory()
+                                .isStillPrimary(
+                                        group.id(), group.term(), group.primary(), sentAtNanos);
         if (!mayWrite) {
             pool.release(connection);
             return retry(
                     ResultCode.PRIMARY_MISSING,
-                    "the lease ended or the primary of group " + group.id() + " was replaced");
+                    "the lease ended or the primary of group "
+                            + group.id()
+                            + " was replaced or evacuated");
         }
         WriteRequest write =
                 new WriteRequest(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/EndedTransactions.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/EndedTransactions.java
@@ -26,22 +26,32 @@
                 }
             };
 
-    private record Ended(ClientAccountId account, Future<CallerResponse> commitResult) {}
+    private record Ended(
+            ClientAccountId account, Future<CallerResponse> commitResult, String reason) {}
 
     /** Records a commit, whose result may still be pending. */
     void recordCommit(String id, ClientAccountId account, Future<CallerResponse> result) {
-        newestLast.put(id, new Ended(account, result));
+        newestLast.put(id, new Ended(account, result, ""));
     }
 
-    /** Records that a transaction was rolled back. */
-    void recordRollback(String id, ClientAccountId account) {
+    /** Records that a transaction was rolled back; the reason is empty for the usual ones. */
+    void recordRollback(String id, ClientAccountId account, String reason) {
         Future<CallerResponse> gone =
                 Future.failedFuture(
                         new ChivevaleException(
                                 ResultCode.TRANSACTION_GONE,
                                 Outcome.NOT_RUN,
-                                "transaction " + id + " was rolled back"));
-        newestLast.put(id, new Ended(account, gone));
+                                "transaction "
+                                        + id
+                                        + " was rolled back"
+                                        + (reason.isEmpty() ? "" : ": " + reason)));
+        newestLast.put(id, new Ended(account, gone, reason));
+    }
+
+    /** Returns why a transaction was rolled back; empty for the usual reasons. */
+    String reason(String id, ClientAccountId account) {
+        Ended ended = newestLast.get(id);
+        return ended == null || !ended.account().equals(account) ? "" : ended.reason();
     }
 
     /** Returns the result of a commit of a transaction that is not open. */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/TransactionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/TransactionService.java
@@ -38,8 +38,8 @@
  * The interactive transactions that this proxy owns.
  *
  * <p>Invariants: a transaction belongs to the client account and key that began it; it is rolled
- * back when its time limit passes, its key is withdrawn, or its primary's term ends. Used on the
- * event loop.
+ * back when its time limit passes, its key is withdrawn, its primary's term ends, or its primary's
+ * data centre has been evacuated for some time. Used on the event loop.
  */
 public final class TransactionService implements Service {
     /** Service name in the kernel. */
@@ -88,11 +88,16 @@
         for (OpenTransaction transaction : new ArrayList<>(openTransactions.values())) {
             if (!transaction.isStepRunning && !canContinue(transaction, now)) {
                 endedEarly.increment();
-                endWithRollback(transaction);
+                endWithRollback(transaction, reasonForEnd(transaction));
             }
         }
     }
 
+    private String reasonForEnd(OpenTransaction transaction) {
+        Group group = transaction.group;
+        return directory.availability().reason(group.id(), group.primary());
+    }
+
     private boolean canContinue(OpenTransaction transaction, long nowNanos) {
         long idleNanos = settings.timing().transactionIdleMillis() * NANOS_PER_MILLI;
         boolean isWithinLimits =
@@ -103,16 +108,26 @@
         return isWithinLimits
                 && isKeyValid
                 && transaction.connection.usable()
-                && directory.isStillPrimary(group.id(), group.term(), group.primary(), nowNanos);
+                && directory.isStillPrimary(group.id(), group.term(), group.primary(), nowNanos)
+                && mayContinueAtEndpoint(transaction, nowNanos);
+    }
+
+    private boolean mayContinueAtEndpoint(OpenTransaction transaction, long nowNanos) {
+        Group group = transaction.group;
+        return directory.availability().mayContinue(group.id(), group.primary(), nowNanos);
     }
 
     private void endWithRollback(OpenTransaction transaction) {
+        endWithRollback(transaction, "");
+    }
+
+    private void endWithRollback(OpenTransaction transaction, String reason) {
         if (transaction.isEnded) {
             return;
         }
         transaction.isEnded = true;
         openTransactions.remove(transaction.id);
-        endedTransactions.recordRollback(transaction.id, transaction.account);
+        endedTransactions.recordRollback(transaction.id, transaction.account, reason);
         if (!transaction.connection.usable()) {
             transaction.pool.release(transaction.connection);
             return;
@@ -209,7 +224,7 @@
                         && transaction.account.equals(account)
                         && !transaction.isStepRunning;
         if (!acceptsStep || !canContinue(transaction, now)) {
-            return Future.failedFuture(transactionGone(id));
+            return Future.failedFuture(transactionGone(id, account, transaction));
         }
         List<Statement> statements =
                 action.equals("statements") ? parseStatements(body) : List.of();
@@ -231,10 +246,16 @@
                 });
     }
 
-    private static ChivevaleException transactionGone(String id) {
+    private ChivevaleException transactionGone(
+            String id, ClientAccountId account, OpenTransaction transaction) {
+        boolean isOwn = transaction != null && transaction.account.equals(account);
+        String reason = isOwn ? reasonForEnd(transaction) : endedTransactions.reason(id, account);
         return new ChivevaleException(
                 ResultCode.TRANSACTION_GONE,
-                "transaction " + id + " is unknown, busy, or has ended");
+                "transaction "
+                        + id
+                        + " is unknown, busy, or has ended"
+                        + (reason.isEmpty() ? "" : ": " + reason));
     }
 
     private List<Statement> parseStatements(JsonNode body) {
@@ -265,7 +286,11 @@
         ResultLimits limits =
                 new ResultLimits(settings.limits().rows(), settings.limits().responseBytes());
         return executor.executeStatements(
-                        transaction.connection, statements, limits, transaction.expiresAtNanos)
+                        transaction.connection,
+                        statements,
+                        limits,
+                        transaction.expiresAtNanos,
+                        () -> mayContinueAtEndpoint(transaction, EventLoop.nowNanos()))
                 .recover(
                         failure -> {
                             endWithRollback(transaction);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/transaction/EndedTransactionsTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/transaction/EndedTransactionsTest.java
@@ -36,7 +36,7 @@
 
     @Test
     void aTransactionThatWasRolledBackHasNoEffect() {
-        ended.recordRollback("proxy-1.a", HOTEL);
+        ended.recordRollback("proxy-1.a", HOTEL, "");
 
         assertEquals(Outcome.NOT_RUN, outcomeOf(ended.repeatCommit("proxy-1.a", HOTEL)));
     }
