--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -258,7 +258,11 @@
         if (leader == null) {
             return;
         }
-        String value = "v" + ++proposals;
+        propose(leader, "v" + ++proposals);
+    }
+
+    /** Proposes a value to a leader and records it once acknowledged. */
+    void propose(Member leader, String value) {
         unanswered++;
         leader.node.append(
                 value.getBytes(StandardCharsets.UTF_8),
