--- a/org.chivevale.system.test/src/test/java/org/chivevale/ctl/CtlTextTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/ctl/CtlTextTest.java
@@ -39,6 +39,9 @@
                     {"database", "replace-credential", "a"},
                     {"group", "hand-over", "a.0"},
                     {"group", "promote-with-loss", "a.0"},
+                    {"datacenter", "evacuate", "a"},
+                    {"datacenter", "restore", "a"},
+                    {"datacenter", "status"},
                     {"route", "close", "a"},
                     {"operator", "create", "a"}
                 }) {
@@ -56,6 +59,29 @@
         Approvals.verify(PlanText.write(plan));
     }
 
+    @Test
+    void theStatusOfDataCentersShowsWhoEvacuatedThemAndHowManyProxiesFollow()
+            throws JsonProcessingException {
+        assertEquals(
+                "no data centre is evacuated",
+                StatusText.writeEvacuations(parseJson("{'evacuations':[]}")));
+        JsonNode status =
+                parseJson(
+                        "{'evacuations':[{'data_center':'sohar-1','operator':'ann',"
+                                + "'requested_unix_ms':1000,'in_force_unix_ms':0,"
+                                + "'proxies_in_force':2,'proxies':3},"
+                                + "{'data_center':'muscat-1','operator':'ann',"
+                                + "'requested_unix_ms':1000,'in_force_unix_ms':2500,"
+                                + "'proxies_in_force':3,'proxies':3}]}");
+        assertEquals(
+                "data centre sohar-1 evacuated by ann at 1970-01-01T00:00:01Z,"
+                        + " in force on 2 of 3 proxies\n"
+                        + "data centre muscat-1 evacuated by ann at 1970-01-01T00:00:01Z,"
+                        + " in force on 3 of 3 proxies,"
+                        + " everywhere since 1970-01-01T00:00:02.500Z",
+                StatusText.writeEvacuations(status));
+    }
+
     @Test
     void theStatusShowsPrimariesBlockedGroupsAndMissingAcknowledgements()
             throws JsonProcessingException {
