End open transactions in time after a late order

Cause: a proxy that was without a lease learned of an evacuation only with its next lease and then let open transactions continue for 2 s, past the 5 s after which nothing may be sent. Change: for open transactions, a late order counts from the expiry of the lease before. Result: EvacuationBoundProperties (500 tries) passes, and fails without the change.

--- a/org.chivevale.core/src/main/java/org/chivevale/core/lease/LeaseHolder.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/lease/LeaseHolder.java
@@ -50,4 +50,14 @@
     public boolean isValid(long nowNanos) {
         return held && nowNanos - expiresAtNanos < 0;
     }
+
+    /**
+     * Returns until when the process could last act on its configuration.
+     *
+     * @param nowNanos the monotonic time
+     * @return the expiry of a lease that has expired, otherwise the given time
+     */
+    public long lastValidNanos(long nowNanos) {
+        return held && nowNanos - expiresAtNanos > 0 ? expiresAtNanos : nowNanos;
+    }
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/route/EndpointAvailability.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/route/EndpointAvailability.java
@@ -81,12 +81,13 @@
     /**
      * Records which evacuations this process has learned of and when.
      *
-     * @param nowNanos the monotonic time
+     * @param learnedAtNanos the monotonic time from which new evacuations count for open
+     *     transactions
      */
-    public void onConfigurationChange(long nowNanos) {
+    public void onConfigurationChange(long learnedAtNanos) {
         evacuatedSinceNanos.keySet().removeIf(dataCenter -> !configuration.isEvacuated(dataCenter));
         for (Evacuation evacuation : configuration.evacuations()) {
-            evacuatedSinceNanos.putIfAbsent(evacuation.dataCenter(), nowNanos);
+            evacuatedSinceNanos.putIfAbsent(evacuation.dataCenter(), learnedAtNanos);
         }
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -69,6 +69,9 @@
         fencing.clear();
         proxyCount = answer.getProxyCount();
         long versionBefore = configuration.version();
+        // A proxy that was without a lease learns of an evacuation late: its open transactions end
+        // as if it had learned of it when its lease expired.
+        long learnedAtNanos = lease.lastValidNanos(EventLoop.nowNanos());
         if (answer.hasSnapshot()) {
             configuration.restore(answer.getSnapshot());
         }
@@ -78,7 +81,7 @@
         if (answer.getMembersIncluded()) {
             updateMembers(answer);
         }
-        availability.onConfigurationChange(EventLoop.nowNanos());
+        availability.onConfigurationChange(learnedAtNanos);
         if (configuration.version() >= answer.getConfigVersion()) {
             lease.onGranted(sentAtNanos, answer.getLeaseMillis() * NANOS_PER_MILLI);
         }
