--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
@@ -305,12 +305,7 @@
                 "endpoint instance " + key + " no longer serves requests");
     }
 
-    /**
-     * Sets whether the instance gets no new work: closes idle connections and fails waiting
-     * requests.
-     *
-     * @param blocked true while no connection may be opened
-     */
+    /** Sets whether the instance gets no new work; true ends idle connections and waiting. */
     void setBlocked(boolean blocked) {
         isBlocked = blocked;
         if (blocked) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -191,13 +191,23 @@
         }
     }
 
+    /**
+     * Returns whether the proxy has rolled the transaction back and its caller was not told.
+     *
+     * @return false once the reason was taken
+     */
+    public boolean isAborted() {
+        return !abortReason.isEmpty();
+    }
+
     /**
      * Takes the reason for which the proxy has rolled the transaction back.
      *
-     * @return the reason, once; empty when there is none or it was taken
+     * @param otherwise returned when there is none or it was taken
+     * @return the reason
      */
-    public String takeAbortReason() {
-        String reason = abortReason;
+    public String takeAbortReason(String otherwise) {
+        String reason = abortReason.isEmpty() ? otherwise : abortReason;
         abortReason = "";
         return reason;
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -237,12 +237,9 @@
         } else if (statement instanceof Statement.Commit) {
             commit(id);
         } else if (transaction.hasFailed()) {
-            String reason = transaction.takeAbortReason();
-            boolean wasAborted = !reason.isEmpty();
-            fail(
-                    id,
-                    wasAborted ? SessionError.ABORTED : SessionError.MALFORMED,
-                    wasAborted ? reason : "the transaction has failed");
+            SessionError error =
+                    transaction.isAborted() ? SessionError.ABORTED : SessionError.MALFORMED;
+            fail(id, error, transaction.takeAbortReason("the transaction has failed"));
         } else if (!handleLocally(id, statement)) {
             executeInTransaction(id, statement);
         }
@@ -251,14 +248,10 @@
     private void commit(String id) {
         OpenTransaction committing = transaction;
         if (committing.hasFailed()) {
-            String reason = committing.takeAbortReason();
+            String reason = committing.takeAbortReason("the transaction had failed");
             committing.rollBack();
             transaction = null;
-            complete(
-                    SessionResult.failed(
-                            SessionError.ABORTED,
-                            reason.isEmpty() ? "the transaction had failed" : reason,
-                            TransactionState.NONE));
+            complete(SessionResult.failed(SessionError.ABORTED, reason, TransactionState.NONE));
             return;
         }
         Effect effect = committing.hasWritten() ? Effect.COMMIT : Effect.COMMIT_OF_READS;
