--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -183,12 +183,18 @@
                                                                 == TransactionState.NONE));
     }
 
-    /** Rolls back if the endpoint's data centre is evacuated and the time to end has passed. */
-    public void rollBackIfEvacuated() {
+    /**
+     * Rolls back if the endpoint's data centre is evacuated and the time to end has passed.
+     *
+     * @return the reason of the rollback; empty when it was not rolled back now
+     */
+    public String rollBackIfEvacuated() {
         if (connection != null && !hasFailed && !engine.mayContinue(placement)) {
             abortReason = engine.closedReason(placement);
             rollBack();
+            return abortReason;
         }
+        return "";
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -377,7 +377,7 @@
             transaction.rollBack();
         }
         if (transaction != null && !isBusy) {
-            transaction.rollBackIfEvacuated();
+            service.logRolledBack(host, transaction, transaction.rollBackIfEvacuated());
         }
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -27,6 +27,7 @@
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.rate.RateLimiter;
+import org.chivevale.proxy.internal.session.OpenTransaction;
 import org.chivevale.proxy.internal.session.SessionEngine;
 import org.chivevale.proxy.internal.session.SessionPools;
 import org.chivevale.proxy.internal.session.StatementExecutor;
@@ -221,6 +222,19 @@
                 detail);
     }
 
+    /** Logs a transaction that the proxy has rolled back; an empty reason says that it has not. */
+    void logRolledBack(String host, OpenTransaction transaction, String reason) {
+        if (!reason.isEmpty()) {
+            registry.counter("chivevale.proxy.transactions.ended.early").increment();
+            decisions.log(
+                    EventLoop.nowNanos(),
+                    "transaction rolled back database=%s account=%s %s",
+                    host,
+                    transaction.accountId(),
+                    reason);
+        }
+    }
+
     void recordResult(
             String id,
             String host,
