--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -116,8 +116,8 @@
      * Orders that no new work goes to the endpoints of a data centre.
      *
      * @param dataCenter the data centre
-     * @return completes once the order is committed, at once if it is in force
-     * @throws ChivevaleException with INTENT_INVALID for an unknown data centre
+     * @return completes once the order is committed, at once if it is in force; fails with
+     *     INTENT_INVALID for an unknown data centre
      */
     public Future<Void> evacuate(String dataCenter) {
         return order(
@@ -133,8 +133,8 @@
      * Withdraws the order to evacuate a data centre.
      *
      * @param dataCenter the data centre
-     * @return completes once the withdrawal is committed, at once if no evacuation is in force
-     * @throws ChivevaleException with INTENT_INVALID for an unknown data centre
+     * @return completes once the withdrawal is committed, at once if no evacuation is in force;
+     *     fails with INTENT_INVALID for an unknown data centre
      */
     public Future<Void> restore(String dataCenter) {
         return order(
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/EvacuationLogProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/EvacuationLogProperties.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
@@ -50,7 +51,7 @@
                         ? LogEntry.parseFrom(
                                 Base64.getDecoder().decode(text.substring("order:".length())))
                         : null;
-            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            } catch (InvalidProtocolBufferException e) {
                 throw new AssertionError(e);
             }
         }
