--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -237,7 +237,9 @@
         } else if (statement instanceof Statement.Commit) {
             commit(id);
         } else if (transaction.hasFailed()) {
-            fail(id, SessionError.MALFORMED, "the transaction has failed");
+            SessionError error =
+                    transaction.isAborted() ? SessionError.ABORTED : SessionError.MALFORMED;
+            fail(id, error, transaction.takeAbortReason("the transaction has failed"));
         } else if (!handleLocally(id, statement)) {
             executeInTransaction(id, statement);
         }
@@ -246,13 +248,10 @@
     private void commit(String id) {
         OpenTransaction committing = transaction;
         if (committing.hasFailed()) {
+            String reason = committing.takeAbortReason("the transaction had failed");
             committing.rollBack();
             transaction = null;
-            complete(
-                    SessionResult.failed(
-                            SessionError.ABORTED,
-                            "the transaction had failed",
-                            TransactionState.NONE));
+            complete(SessionResult.failed(SessionError.ABORTED, reason, TransactionState.NONE));
             return;
         }
         Effect effect = committing.hasWritten() ? Effect.COMMIT : Effect.COMMIT_OF_READS;
@@ -377,6 +376,9 @@
         if (idle) {
             transaction.rollBack();
         }
+        if (transaction != null && !isBusy) {
+            service.logRolledBack(host, transaction, transaction.rollBackIfEvacuated());
+        }
     }
 
     /** Ends the session after its caller has disconnected; rolls back an open transaction. */
