Run requests only in the regions that they allow

Cause: a route or a client account could name regions, but nothing read them. Change: whole configurations and the administration interface set them; both paths of the proxy choose endpoints in permitted regions only, and a step of a transaction is forwarded only to a permitted region or the caller's. A request that no region permits is rejected at once with the reason. A request without a restriction is placed as before.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
@@ -14,11 +14,13 @@
 import org.chivevale.control.internal.fleet.ProxyMemberState;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.config.Account;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Database;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.OpenRoute;
 import org.chivevale.core.config.Operator;
+import org.chivevale.core.config.Route;
 import org.chivevale.core.config.StoredKey;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.Kernel;
@@ -138,7 +140,8 @@
                     .put("database", database.name())
                     .put("slots", database.slots())
                     .put("endpoints_per_group", database.endpointsPerGroup())
-                    .put("acknowledge", database.acknowledgeByQuorum() ? "quorum" : "primary");
+                    .put("acknowledge", database.acknowledgeByQuorum() ? "quorum" : "primary")
+                    .put("warmup_per_second", database.warmupRatePerSecond());
         }
         ArrayNode accounts = out.putArray("accounts");
         configuration.accounts().forEach(account -> write(accounts.addObject(), account));
@@ -146,6 +149,12 @@
         for (StoredKey key : configuration.keys()) {
             keys.addObject().put("key_id", key.id()).put("account", key.account().value());
         }
+        ArrayNode callerRoutes = out.putArray("routes");
+        for (Route route : configuration.routes()) {
+            ObjectNode one = callerRoutes.addObject();
+            one.put("route", route.name()).put("database", route.database());
+            writeRegions(one, route.allowedRegions());
+        }
         ArrayNode routes = out.putArray("open_routes");
         for (OpenRoute route : configuration.openRoutes()) {
             routes.addObject()
@@ -172,6 +181,11 @@
         out.put("latency_objective_ms", account.latencyObjectiveMillis());
         ArrayNode databases = out.putArray("databases");
         account.databases().stream().sorted().forEach(databases::add);
+        writeRegions(out, account.allowedRegions());
+    }
+
+    private static void writeRegions(ObjectNode out, AllowedRegions allowed) {
+        allowed.toList().forEach(out.putArray("allowed_regions")::add);
     }
 
     ObjectNode report() {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/Intent.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/Intent.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
 
@@ -112,4 +113,18 @@
         }
         return texts;
     }
+
+    /** Returns the regions in field {@code allowed_regions}, or the fallback without the field. */
+    AllowedRegions regions(AllowedRegions fallback) {
+        return fields.has("allowed_regions") ? AllowedRegions.of(regionNames()) : fallback;
+    }
+
+    /** Returns the names in field {@code allowed_regions}; none for every region. */
+    List<String> regionNames() {
+        List<String> names = texts("allowed_regions");
+        if (names.contains("")) {
+            throw invalid("field 'allowed_regions' must be a list of non-empty texts");
+        }
+        return names;
+    }
 }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/IntentPlanner.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/IntentPlanner.java
@@ -1,7 +1,6 @@
 package org.chivevale.control.internal.intent;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
@@ -20,7 +19,6 @@
 import org.chivevale.core.statement.StatementKind;
 import org.chivevale.core.statement.StatementPolicy;
 import org.chivevale.core.util.Checks;
-import org.chivevale.wire.proto.AccountPut;
 import org.chivevale.wire.proto.AccountRemoved;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.DatabaseCredentialPut;
@@ -38,10 +36,7 @@
  * process is the leader at the confirmation can compute the plan again. Not thread safe.
  */
 final class IntentPlanner {
-    private static final double MAX_RATE = 1e6;
-    private static final int MAX_BURST = 1_000_000;
-    private static final int DEFAULT_OBJECTIVE_MILLIS = 100;
-    private static final int MAX_OBJECTIVE_MILLIS = 600_000;
+    private static final double MAX_WARMUP_RATE = 1e6;
     private static final int MAX_ENDPOINTS = 9;
     private static final int MAX_AGE_MILLIS = 86_400_000;
 
@@ -53,8 +48,8 @@
 
     PlannedChanges plan(Intent intent) {
         return switch (intent.kind()) {
-            case "account-create" -> createAccount(intent);
-            case "account-change" -> changeAccount(intent);
+            case "account-create" -> new AccountPlanner(configuration).create(intent);
+            case "account-change" -> new AccountPlanner(configuration).change(intent);
             case "account-remove" -> removeAccount(intent);
             case "key-create" -> createKey(intent);
             case "key-withdraw" -> withdrawKey(intent);
@@ -63,6 +58,7 @@
             case "credential-replace" -> replaceCredential(intent);
             case "route-open" -> openRoute(intent);
             case "route-close" -> closeRoute(intent);
+            case "route-regions" -> new RouteRegionsPlanner(configuration).plan(intent);
             case "operator-create" -> createOperator(intent);
             case "hand-over" -> switchOver(intent);
             case "promote-with-loss" -> promoteWithLoss(intent);
@@ -79,84 +75,12 @@
             case "database-create", "database-change", "credential-replace" ->
                     "database:" + intent.text("database");
             case "route-open", "route-close" -> "route:" + intent.text("name");
+            case "route-regions" -> "caller-route:" + intent.text("route");
             case "operator-create" -> "operator:" + intent.text("operator");
             default -> "group:" + intent.text("group");
         };
     }
 
-    private PlannedChanges createAccount(Intent intent) {
-        intent.rejectUnknownFields(
-                Set.of("account", "rate_per_second", "burst", "databases", "latency_objective_ms"));
-        ClientAccountId id = new ClientAccountId(intent.text("account"));
-        if (configuration.account(id) != null) {
-            throw Intent.invalid("client account '" + id + "' already exists");
-        }
-        return putAccount(
-                id,
-                intent.decimal("rate_per_second", 0.001, MAX_RATE),
-                intent.number("burst", 1, MAX_BURST),
-                intent.texts("databases"),
-                intent.number(
-                        "latency_objective_ms", DEFAULT_OBJECTIVE_MILLIS, 1, MAX_OBJECTIVE_MILLIS),
-                "create client account ",
-                intent);
-    }
-
-    private PlannedChanges changeAccount(Intent intent) {
-        intent.rejectUnknownFields(
-                Set.of("account", "rate_per_second", "burst", "databases", "latency_objective_ms"));
-        Account before = requireAccount(intent.text("account"));
-        return putAccount(
-                before.id(),
-                intent.decimal("rate_per_second", before.ratePerSecond(), 0.001, MAX_RATE),
-                intent.number("burst", before.burst(), 1, MAX_BURST),
-                intent.has("databases")
-                        ? intent.texts("databases")
-                        : List.copyOf(before.databases()),
-                intent.number(
-                        "latency_objective_ms",
-                        before.latencyObjectiveMillis(),
-                        1,
-                        MAX_OBJECTIVE_MILLIS),
-                "change client account ",
-                intent);
-    }
-
-    private PlannedChanges putAccount(
-            ClientAccountId id,
-            double ratePerSecond,
-            int burst,
-            List<String> databases,
-            int objectiveMillis,
-            String verb,
-            Intent intent) {
-        databases.forEach(this::requireDatabase);
-        List<String> sorted = new ArrayList<>(Set.copyOf(databases));
-        sorted.sort(null);
-        AccountPut put =
-                AccountPut.newBuilder()
-                        .setAccountId(id.value())
-                        .setRatePerSecond(ratePerSecond)
-                        .setBurst(burst)
-                        .addAllDatabases(sorted)
-                        .setLatencyObjectiveMillis(objectiveMillis)
-                        .build();
-        return PlannedChanges.of(
-                Change.newBuilder().setAccountPut(put),
-                verb
-                        + id
-                        + ": rate "
-                        + ratePerSecond
-                        + "/s, burst "
-                        + burst
-                        + ", databases "
-                        + sorted
-                        + ", objective "
-                        + objectiveMillis
-                        + " ms",
-                touchedObject(intent));
-    }
-
     private PlannedChanges removeAccount(Intent intent) {
         intent.rejectUnknownFields(Set.of("account"));
         Account account = requireAccount(intent.text("account"));
@@ -227,6 +151,7 @@
                         "slots",
                         "endpoints_per_group",
                         "acknowledge",
+                        "warmup_per_second",
                         "key_id",
                         "key_hash"));
         String name = Checks.name("database", intent.text("database"));
@@ -236,10 +161,11 @@
         int slots = intent.number("slots", 1, GroupId.MAX_SLOTS);
         int endpoints = intent.number("endpoints_per_group", 1, MAX_ENDPOINTS);
         boolean quorum = parseQuorum(intent.text("acknowledge", "quorum"));
+        double warmup = intent.decimal("warmup_per_second", 0, 0, MAX_WARMUP_RATE);
         DatabaseCredentialPut credential = putCredential(name, intent);
         return new PlannedChanges(
                 List.of(
-                        putDatabase(name, slots, endpoints, quorum),
+                        putDatabase(new Database(name, slots, quorum, endpoints, 0, 0, warmup)),
                         Change.newBuilder().setDatabaseCredentialPut(credential).build()),
                 List.of(
                         "create database "
@@ -249,7 +175,8 @@
                                 + " slots, "
                                 + endpoints
                                 + " endpoints a group, acknowledged by "
-                                + (quorum ? "quorum" : "primary"),
+                                + (quorum ? "quorum" : "primary")
+                                + describeWarmup(warmup),
                         "create the announcement credential of database " + name),
                 List.of(touchedObject(intent)));
     }
@@ -269,19 +196,29 @@
         };
     }
 
-    private static Change putDatabase(String name, int slots, int endpoints, boolean quorum) {
+    private static String describeWarmup(double ratePerSecond) {
+        return ratePerSecond == 0
+                ? ""
+                : ", cold endpoints at most " + ratePerSecond + " requests/s";
+    }
+
+    private static Change putDatabase(Database database) {
         return Change.newBuilder()
                 .setDatabasePut(
                         DatabasePut.newBuilder()
-                                .setDatabase(name)
-                                .setSlots(slots)
-                                .setEndpointsPerGroup(endpoints)
-                                .setAcknowledgeByQuorum(quorum))
+                                .setDatabase(database.name())
+                                .setSlots(database.slots())
+                                .setEndpointsPerGroup(database.endpointsPerGroup())
+                                .setAcknowledgeByQuorum(database.acknowledgeByQuorum())
+                                .setConnectionLimit(database.connectionLimit())
+                                .setPromotionAnswers(database.promotionAnswers())
+                                .setWarmupRatePerSecond(database.warmupRatePerSecond()))
                 .build();
     }
 
     private PlannedChanges changeDatabase(Intent intent) {
-        intent.rejectUnknownFields(Set.of("database", "endpoints_per_group", "acknowledge"));
+        intent.rejectUnknownFields(
+                Set.of("database", "endpoints_per_group", "acknowledge", "warmup_per_second"));
         Database before = requireDatabase(intent.text("database"));
         int endpoints =
                 intent.number("endpoints_per_group", before.endpointsPerGroup(), 1, MAX_ENDPOINTS);
@@ -290,14 +227,27 @@
                         intent.text(
                                 "acknowledge",
                                 before.acknowledgeByQuorum() ? "quorum" : "primary"));
+        double warmup =
+                intent.decimal(
+                        "warmup_per_second", before.warmupRatePerSecond(), 0, MAX_WARMUP_RATE);
+        Database changed =
+                new Database(
+                        before.name(),
+                        before.slots(),
+                        quorum,
+                        endpoints,
+                        before.connectionLimit(),
+                        before.promotionAnswers(),
+                        warmup);
         return PlannedChanges.of(
-                putDatabase(before.name(), before.slots(), endpoints, quorum).toBuilder(),
+                putDatabase(changed).toBuilder(),
                 "change database "
                         + before.name()
                         + ": "
                         + endpoints
                         + " endpoints a group, acknowledged by "
-                        + (quorum ? "quorum" : "primary"),
+                        + (quorum ? "quorum" : "primary")
+                        + describeWarmup(warmup),
                 touchedObject(intent));
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ChangedObjects.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ChangedObjects.java
@@ -42,6 +42,8 @@
             case GROUP_STATE -> "group:" + change.getGroupState().getGroupId();
             case OPEN_ROUTE_PUT -> "route:" + change.getOpenRoutePut().getName();
             case OPEN_ROUTE_REMOVED -> "route:" + change.getOpenRouteRemoved().getName();
+            case ROUTE_PUT -> "caller-route:" + change.getRoutePut().getName();
+            case ROUTE_REMOVED -> "caller-route:" + change.getRouteRemoved().getName();
             case OPERATOR_PUT -> "operator:" + change.getOperatorPut().getOperatorId();
             default -> "";
         };
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/AllowedRegions.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/AllowedRegions.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.chivevale.core.account.ClientAccountId;
 
 /**
  * The regions whose endpoints may run a request.
@@ -34,6 +35,31 @@
         return names.isEmpty() ? ANY : new AllowedRegions(true, new HashSet<>(names));
     }
 
+    /**
+     * Returns the regions that a request on a route may run in.
+     *
+     * @param configuration the configuration in force
+     * @param route the request's route
+     * @param account the request's client account; without a restriction if it is not configured
+     * @return the regions that route and account both permit
+     */
+    public static AllowedRegions ofRequest(
+            Configuration configuration, Route route, ClientAccountId account) {
+        return route.allowedRegions().intersect(ofAccount(configuration, account));
+    }
+
+    /**
+     * Returns the regions that the requests of a client account may run in.
+     *
+     * @param configuration the configuration in force
+     * @param account the client account; without a restriction if it is not configured
+     * @return the regions that the account permits
+     */
+    public static AllowedRegions ofAccount(Configuration configuration, ClientAccountId account) {
+        Account configured = configuration.account(account);
+        return configured == null ? ANY : configured.allowedRegions();
+    }
+
     /**
      * Combines two restrictions, which both apply.
      *
--- a/org.chivevale.core/src/main/java/org/chivevale/core/errors/ResultCode.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/errors/ResultCode.java
@@ -28,6 +28,7 @@
     OPERATOR_REFUSED(2003, 401, "The operator's key is unknown."),
     ROLE_INSUFFICIENT(2004, 403, "The operator's role does not allow the action."),
     CREDENTIAL_REFUSED(2005, 401, "The announcement's credential is not the database's."),
+    REGION_NOT_ALLOWED(2006, 403, "No endpoint is in a region where the request may run."),
     RATE_EXCEEDED(3001, 429, "The client account is above its rate and burst."),
     QUEUE_FULL(3002, 503, "The client account's queue for the endpoint is full."),
     DEADLINE_PASSED(3003, 504, "The deadline passed before the request was sent to an endpoint."),
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/AccountCommands.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/AccountCommands.java
@@ -44,12 +44,19 @@
                 description = "Latency objective; responses within it count as in time")
         private Integer objectiveMillis;
 
+        @Option(
+                name = {"--regions"},
+                title = "A,B",
+                description = "Regions its requests may run in; '' for every region")
+        private String regions;
+
         ObjectNode buildIntent(String kind) {
             ObjectNode intent = intent(kind).put("account", account);
             putNumber(intent, "rate_per_second", rate);
             putNumber(intent, "burst", burst);
             putList(intent, "databases", databases);
             putNumber(intent, "latency_objective_ms", objectiveMillis);
+            putRegions(intent, regions);
             return intent;
         }
     }
@@ -63,8 +70,10 @@
         }
     }
 
-    /** Changes rate, burst, databases or latency objective. */
-    @Command(name = "set", description = "Change rate, burst, databases or latency objective")
+    /** Changes rate, burst, databases, latency objective or regions. */
+    @Command(
+            name = "set",
+            description = "Change rate, burst, databases, latency objective or regions")
     public static final class AccountChange extends AccountCommand {
         @Override
         ObjectNode intent() {
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/CtlMain.java
@@ -89,8 +89,12 @@
                 .withCommands(
                         DatabaseCommands.Switchover.class, DatabaseCommands.PromoteWithLoss.class);
         builder.withGroup("route")
-                .withDescription("Read-only routes that are open without a key")
-                .withCommands(RouteCommands.RouteOpen.class, RouteCommands.RouteClose.class);
+                .withDescription(
+                        "Read-only routes that are open without a key, and regions of routes")
+                .withCommands(
+                        RouteCommands.RouteOpen.class,
+                        RouteCommands.RouteClose.class,
+                        RouteCommands.RouteRegions.class);
         builder.withGroup("operator")
                 .withDescription("Operators and their roles")
                 .withCommands(OperatorCommands.OperatorCreate.class);
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/DatabaseCommands.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/DatabaseCommands.java
@@ -32,11 +32,18 @@
                 description = "Which endpoints must have a write before it is acknowledged")
         private String acknowledge;
 
+        @Option(
+                name = {"--warmup-rate"},
+                title = "N",
+                description = "Requests per second to a cold endpoint; 0 for no limit")
+        private Double warmupPerSecond;
+
         ObjectNode buildIntent(String kind, Integer defaultEndpoints) {
             ObjectNode intent = intent(kind).put("database", database);
             Integer wanted = endpoints == null ? defaultEndpoints : endpoints;
             putNumber(intent, "endpoints_per_group", wanted);
             putText(intent, "acknowledge", acknowledge);
+            putNumber(intent, "warmup_per_second", warmupPerSecond);
             return intent;
         }
     }
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/IntentCommand.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/IntentCommand.java
@@ -62,4 +62,12 @@
             }
         }
     }
+
+    /** Puts a list of regions; an empty text gives an empty list, which permits every region. */
+    static void putRegions(ObjectNode intent, String commaSeparated) {
+        if (commaSeparated != null) {
+            intent.putArray("allowed_regions");
+            putList(intent, "allowed_regions", commaSeparated);
+        }
+    }
 }
--- a/org.chivevale.ctl/src/main/java/org/chivevale/ctl/RouteCommands.java
+++ b/org.chivevale.ctl/src/main/java/org/chivevale/ctl/RouteCommands.java
@@ -7,7 +7,7 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 
 /**
- * Commands on open routes, which run a read without a client key.
+ * Commands on routes: open ones, which run a read without a client key, and the regions of others.
  *
  * <p>Each is used by one thread.
  */
@@ -71,4 +71,26 @@
             return intent("route-close").put("name", name);
         }
     }
+
+    /** Sets the regions in which the requests of a route may run. */
+    @Command(name = "regions", description = "Set the regions that requests of a route may run in")
+    public static final class RouteRegions extends IntentCommand {
+        @Arguments(title = "ROUTE", description = "The route's name in the configuration")
+        @Required
+        private String route;
+
+        @Option(
+                name = {"--regions"},
+                title = "A,B",
+                description = "The regions; '' for every region")
+        @Required
+        private String regions;
+
+        @Override
+        ObjectNode intent() {
+            ObjectNode intent = intent("route-regions").put("route", route);
+            putRegions(intent, regions);
+            return intent;
+        }
+    }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -200,6 +200,23 @@
         return endpointsByGroup.getOrDefault(group.toString(), List.of());
     }
 
+    /**
+     * Finds the region of a data centre by the endpoints in it.
+     *
+     * @param dataCenter the data centre
+     * @return its region; empty when no endpoint is announced there
+     */
+    public String regionOfDataCenter(String dataCenter) {
+        for (List<EndpointMember> members : endpointsByGroup.values()) {
+            for (EndpointMember member : members) {
+                if (member.getDataCenter().equals(dataCenter)) {
+                    return member.getRegion();
+                }
+            }
+        }
+        return "";
+    }
+
     /**
      * Returns how many proxies share what counts over the fleet, such as rates.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/ReadExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/ReadExecutor.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.Outcome;
@@ -23,6 +24,7 @@
 import org.chivevale.database.ResultsJson;
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
+import org.chivevale.proxy.internal.fleet.RegionRules;
 import org.chivevale.proxy.internal.pool.InstancePool;
 import org.chivevale.proxy.internal.pool.InstanceStats;
 import org.chivevale.wire.proto.EndpointMember;
@@ -31,7 +33,8 @@
  * Executes one read: chooses an endpoint, reads, and retries after a failure.
  *
  * <p>Invariants: the data is never older than what the session has seen or the caller accepts; no
- * result is returned without a lease. Used on the event loop, for a single request.
+ * result is returned without a lease; it runs only in a region that its account permits. Used on
+ * the event loop, for a single request.
  */
 final class ReadExecutor {
     private static final int MAX_STALE_REPLICA_READS = 2;
@@ -84,6 +87,12 @@
         Map<String, InstancePool> pools = new HashMap<>();
         ReadChoice choice = router.choose(requirement, findCandidates(group, pools, now), now);
         if (choice == null) {
+            ChivevaleException excluded =
+                    context.findRegionExclusion(
+                            request.account(), group, requirement.primaryOnly());
+            if (excluded != null) {
+                return Future.failedFuture(excluded);
+            }
             return retry(
                     ResultCode.ENDPOINT_MISSING, "group " + group.id() + ": no endpoint can serve");
         }
@@ -130,14 +139,16 @@
     private List<ReadCandidate> findCandidates(
             Group group, Map<String, InstancePool> pools, long nowNanos) {
         List<ReadCandidate> candidates = new ArrayList<>();
-        if (group.primary() != null) {
+        RegionRules regions = context.regions();
+        AllowedRegions allowed = regions.allowed(request.account());
+        if (group.primary() != null && regions.permits(allowed, group.id(), group.primary())) {
             InstancePool pool = context.pools().primaryPool(group);
             pools.put(group.primary().value(), pool);
             candidates.add(toCandidate(pool, true));
         }
         for (EndpointMember member : context.directory().servingReplicas(group)) {
             InstancePool pool = context.pools().memberPool(member);
-            if (!pool.stats().isAvoided(nowNanos)) {
+            if (allowed.permits(member.getRegion()) && !pool.stats().isAvoided(nowNanos)) {
                 pools.put(member.getEndpointId(), pool);
                 candidates.add(toCandidate(pool, false));
             }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestContext.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestContext.java
@@ -3,6 +3,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.concurrent.TimeUnit;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
@@ -11,6 +13,7 @@
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.fleet.RegionRules;
 import org.chivevale.proxy.internal.pool.PoolService;
 
 /**
@@ -27,6 +30,7 @@
     private final PoolService pools;
     private final GroupPositionHistories histories;
     private final Vertx vertx;
+    private final RegionRules regions;
 
     /**
      * Bundles the parts that execution uses.
@@ -48,6 +52,7 @@
         this.pools = pools;
         this.histories = histories;
         this.vertx = vertx;
+        this.regions = new RegionRules(settings, directory);
     }
 
     ProxySettings settings() {
@@ -79,8 +84,56 @@
         return vertx.timer(Math.max(1, millis), TimeUnit.MILLISECONDS).mapEmpty();
     }
 
+    RegionRules regions() {
+        return regions;
+    }
+
+    /**
+     * Returns the failure of a request that its regions keep from every endpoint that could serve
+     * it, or null when there is none.
+     */
+    ChivevaleException findRegionExclusion(
+            ClientAccountId account, Group group, boolean primaryOnly) {
+        String reason = regions.findExclusion(regions.allowed(account), group, primaryOnly);
+        return reason == null
+                ? null
+                : new ChivevaleException(
+                        ResultCode.REGION_NOT_ALLOWED, "group " + group.id() + ": " + reason);
+    }
+
+    /**
+     * Waits until the proxy holds a lease and the group has a primary that may run requests of the
+     * account; fails at once when the primary's region excludes them.
+     */
+    public Future<Group> awaitPermittedPrimary(
+            ClientAccountId account, GroupId id, long deadlineNanos) {
+        return awaitPrimary(id, deadlineNanos)
+                .compose(
+                        group -> {
+                            AllowedRegions allowed = regions.allowed(account);
+                            if (regions.permits(allowed, id, group.primary())) {
+                                return Future.succeededFuture(group);
+                            }
+                            ChivevaleException excluded = findRegionExclusion(account, group, true);
+                            if (excluded != null) {
+                                return Future.failedFuture(excluded);
+                            }
+                            return delay(
+                                            PRIMARY_POLL_MILLIS,
+                                            deadlineNanos,
+                                            ResultCode.PRIMARY_MISSING,
+                                            "the region of the primary of group "
+                                                    + id
+                                                    + " is unknown")
+                                    .compose(
+                                            ignored ->
+                                                    awaitPermittedPrimary(
+                                                            account, id, deadlineNanos));
+                        });
+    }
+
     /** Waits until the proxy holds a lease and the group has a primary. */
-    public Future<Group> awaitPrimary(GroupId id, long deadlineNanos) {
+    private Future<Group> awaitPrimary(GroupId id, long deadlineNanos) {
         Group group = group(id);
         boolean leased = directory.isLeased(EventLoop.nowNanos());
         if (leased && group.primary() != null) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/RequestExecutor.java
@@ -60,7 +60,7 @@
      */
     public Future<BegunTransaction> begin(
             ClientAccountId account, GroupId group, long deadlineNanos) {
-        return context.awaitPrimary(group, deadlineNanos)
+        return context.awaitPermittedPrimary(account, group, deadlineNanos)
                 .compose(
                         current -> {
                             InstancePool pool = context.pools().primaryPool(current);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/WriteExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/request/WriteExecutor.java
@@ -42,7 +42,8 @@
     }
 
     private Future<CallerResponse> attempt() {
-        return context.awaitPrimary(request.group(), request.deadlineNanos())
+        return context.awaitPermittedPrimary(
+                        request.account(), request.group(), request.deadlineNanos())
                 .compose(this::attemptOnPrimary);
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.ReadPolicy;
 import org.chivevale.core.config.Route;
@@ -14,13 +16,15 @@
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.fleet.RegionRules;
 import org.chivevale.wire.proto.EndpointMember;
 
 /**
  * Selects the endpoint that runs a statement.
  *
  * <p>Invariants: writes and reads that must see every commit go to the primary only; a replica is
- * selected only with a required position that bounds the read's staleness. Used on the event loop.
+ * selected only with a required position that bounds the read's staleness; an endpoint is selected
+ * only in a region that the route and the client account permit. Used on the event loop.
  */
 final class PlacementSelector {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -31,6 +35,7 @@
     private final ProxySettings settings;
     private final Directory directory;
     private final SessionPools pools;
+    private final RegionRules regions;
 
     private record Candidate(Placement placement, MemberView view) {}
 
@@ -38,14 +43,43 @@
         this.settings = settings;
         this.directory = directory;
         this.pools = pools;
+        this.regions = new RegionRules(settings, directory);
     }
 
     static GroupId groupOf(Route route) {
         return new GroupId(route.database(), ONLY_SLOT);
     }
 
-    /** Returns the primary's placement, or null while the group has none or it is being fenced. */
-    Placement selectPrimary(Route route) {
+    /** Returns the regions in which a request of the account on the route may run. */
+    AllowedRegions allowedRegions(Route route, ClientAccountId account) {
+        return regions.allowed(route, account);
+    }
+
+    /** Returns why a request can run nowhere because of its regions, or null when it can. */
+    String findRegionExclusion(Route route, ClientAccountId account, boolean primaryOnly) {
+        return regions.findExclusion(
+                allowedRegions(route, account),
+                directory.configuration().group(groupOf(route)),
+                primaryOnly || route.readPolicy() == ReadPolicy.PRIMARY);
+    }
+
+    private boolean isPermitted(Placement placement, AllowedRegions allowed) {
+        return regions.permits(
+                allowed, placement.group().id(), placement.pool().target().endpoint());
+    }
+
+    /**
+     * Returns the primary's placement, or null while the group has none, it is being fenced, or its
+     * region is not permitted.
+     */
+    Placement selectPrimary(Route route, ClientAccountId account) {
+        Placement primary = findPrimary(route);
+        return primary == null || !isPermitted(primary, allowedRegions(route, account))
+                ? null
+                : primary;
+    }
+
+    private Placement findPrimary(Route route) {
         Group group = directory.configuration().group(groupOf(route));
         return group.primary() == null || directory.isFencing(group.id())
                 ? null
@@ -55,14 +89,21 @@
     /**
      * Returns the best placement for a read, or null while there is none.
      *
+     * @param account the client account, which may restrict the regions
      * @param lastCommit the position of the session's last commit
      * @param excluded endpoints to leave out, where the read has failed
      */
-    Placement selectForRead(Route route, TermPosition lastCommit, Set<EndpointId> excluded) {
+    Placement selectForRead(
+            Route route,
+            ClientAccountId account,
+            TermPosition lastCommit,
+            Set<EndpointId> excluded) {
         if (route.readPolicy() == ReadPolicy.PRIMARY) {
-            return selectPrimary(route);
+            return selectPrimary(route, account);
         }
+        AllowedRegions allowed = allowedRegions(route, account);
         List<Candidate> candidates = candidates(route, lastCommit);
+        candidates.removeIf(candidate -> !isPermitted(candidate.placement(), allowed));
         candidates.removeIf(
                 candidate -> excluded.contains(candidate.placement().pool().target().endpoint()));
         List<MemberView> views = new ArrayList<>();
@@ -75,7 +116,7 @@
         long now = EventLoop.nowNanos();
         List<Candidate> candidates = new ArrayList<>();
         Group group = directory.configuration().group(groupOf(route));
-        Placement primary = selectPrimary(route);
+        Placement primary = findPrimary(route);
         if (primary != null) {
             EndpointMember member = findPrimaryMember(group);
             candidates.add(new Candidate(primary, view(primary, member, now)));
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
@@ -141,9 +142,18 @@
     }
 
     Placement selectPlacement(
-            Route route, boolean primaryOnly, TermPosition lastCommit, Set<EndpointId> excluded) {
+            Route route,
+            ClientAccountId account,
+            boolean primaryOnly,
+            TermPosition lastCommit,
+            Set<EndpointId> excluded) {
         return primaryOnly
-                ? selector.selectPrimary(route)
-                : selector.selectForRead(route, lastCommit, excluded);
+                ? selector.selectPrimary(route, account)
+                : selector.selectForRead(route, account, lastCommit, excluded);
+    }
+
+    /** Returns why a request can run nowhere because of its regions, or null when it can. */
+    String findRegionExclusion(Route route, ClientAccountId account, boolean primaryOnly) {
+        return selector.findRegionExclusion(route, account, primaryOnly);
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -185,8 +185,19 @@
         }
         placement =
                 engine.selectPlacement(
-                        context.route(), operation.primaryOnly(), context.lastCommit(), excluded);
+                        context.route(),
+                        context.account(),
+                        operation.primaryOnly(),
+                        context.lastCommit(),
+                        excluded);
         if (placement == null) {
+            String exclusion =
+                    engine.findRegionExclusion(
+                            context.route(), context.account(), operation.primaryOnly());
+            if (exclusion != null) {
+                fail(SessionError.BUSY, exclusion);
+                return;
+            }
             lastDetail = "no endpoint can serve";
             if (!excluded.isEmpty()) {
                 excluded.clear();
@@ -396,7 +407,8 @@
      */
     private void moveToFreeEndpoint() {
         Placement best =
-                engine.selectPlacement(context.route(), false, context.lastCommit(), excluded);
+                engine.selectPlacement(
+                        context.route(), context.account(), false, context.lastCommit(), excluded);
         boolean isElsewhere = best != null && best.pool() != placement.pool();
         if (isElsewhere && best.pool().hasFreeConnection()) {
             placement.pool().cancel(waiter);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
@@ -17,6 +17,7 @@
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.fleet.RegionRules;
 import org.chivevale.proxy.internal.request.CallerResponse;
 import org.chivevale.proxy.internal.request.ForwardAnswerCodec;
 import org.chivevale.proxy.internal.request.RequestParser;
@@ -27,12 +28,14 @@
 import org.chivevale.wire.proto.ForwardAnswer;
 import org.chivevale.wire.proto.ForwardRequest;
 import org.chivevale.wire.proto.Frame;
+import org.chivevale.wire.proto.ProxyMember;
 
 /**
  * Forwards steps of interactive transactions between proxies.
  *
  * <p>Invariants: a step is sent once; when the response to a commit is lost, its outcome is
- * unknown. Used on the event loop.
+ * unknown; a step is sent only to a proxy in the caller's region or in one that its client account
+ * permits. Used on the event loop.
  */
 public final class ForwardService implements Service {
     /** Service name in the kernel. */
@@ -45,6 +48,7 @@
     private final ProxySettings settings;
     private final Directory directory;
     private final TransactionService transactions;
+    private final RegionRules regions;
     private final FrameClient client = new FrameClient(CONNECT_TIMEOUT_MILLIS);
     private final Map<String, FrameConnection> connections = new HashMap<>();
     private final Map<Long, PendingStep> pendingSteps = new HashMap<>();
@@ -71,6 +75,7 @@
         this.settings = settings;
         this.directory = directory;
         this.transactions = transactions;
+        this.regions = new RegionRules(settings, directory);
     }
 
     @Override
@@ -93,6 +98,10 @@
      */
     public Future<CallerResponse> forward(
             String owner, ClientAccountId account, String id, String action, Buffer body) {
+        ChivevaleException excluded = findRegionExclusion(owner, account, action);
+        if (excluded != null) {
+            return Future.failedFuture(excluded);
+        }
         return connect(owner, outcomeWithoutResponse(action))
                 .compose(
                         connection -> {
@@ -110,6 +119,24 @@
                         });
     }
 
+    /** Returns the failure of a step whose text may not be sent to its owner, or null. */
+    private ChivevaleException findRegionExclusion(
+            String owner, ClientAccountId account, String action) {
+        ProxyMember member = directory.proxies().get(owner);
+        if (member == null || regions.mayForwardTo(regions.allowed(account), member)) {
+            return null;
+        }
+        return new ChivevaleException(
+                ResultCode.REGION_NOT_ALLOWED,
+                outcomeWithoutResponse(action),
+                "proxy "
+                        + owner
+                        + " in data centre "
+                        + member.getDataCenter()
+                        + " is outside the regions of client account "
+                        + account);
+    }
+
     private static Frame toFrame(
             long correlationId, ClientAccountId account, String id, String action, Buffer body) {
         return Frame.newBuilder()
