Limit requests to cold endpoints by leased tokens

Cause: an endpoint that is slow after a start received its full share of requests at once. Change: announcements say how long an endpoint stays cold, and the log holds that state. The leader grants tokens for cold endpoints at the database's warm-up rate; a proxy spends one directly before each statement there and sends others to a warm endpoint or lets them wait. An endpoint that is not cold needs no token and no message.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
@@ -23,6 +23,7 @@
  * @param connectionFloor minimum number of connections that each proxy gets to each instance
  * @param snapshotEvery number of log entries after which a snapshot is written
  * @param replication settings of the replicated log; null for a deployment with one process
+ * @param warmup limits on requests to cold endpoints
  */
 public record ControlSettings(
         String id,
@@ -37,7 +38,8 @@
         int clockDriftPartsPerMillion,
         int connectionFloor,
         int snapshotEvery,
-        Replication replication) {
+        Replication replication,
+        Warmup warmup) {
     /**
      * Settings of a replicated log.
      *
@@ -51,6 +53,18 @@
         }
     }
 
+    /**
+     * By how much one second may exceed the warm-up rate of a cold endpoint.
+     *
+     * @param overshoot factor of the rate
+     * @param slack number of requests on top
+     */
+    public record Warmup(double overshoot, double slack) {}
+
+    private static final double DEFAULT_WARMUP_OVERSHOOT = 1.5;
+    private static final double DEFAULT_WARMUP_SLACK = 5;
+    private static final double MAX_WARMUP_OVERSHOOT = 100;
+    private static final double MAX_WARMUP_SLACK = 100_000;
     private static final int DEFAULT_LEASE_MILLIS = 2500;
     private static final int DEFAULT_DRIFT_PPM = 1000;
     private static final int DEFAULT_CONNECTION_FLOOR = 1;
@@ -95,7 +109,14 @@
                 in.number("clock_drift_ppm", DEFAULT_DRIFT_PPM, 0, MAX_DRIFT_PPM),
                 in.number("connection_floor", DEFAULT_CONNECTION_FLOOR, 0, 1000),
                 in.number("snapshot_every", DEFAULT_SNAPSHOT_EVERY, 1, 1_000_000),
-                replication(in));
+                replication(in),
+                new Warmup(
+                        in.decimal(
+                                "warmup.overshoot",
+                                DEFAULT_WARMUP_OVERSHOOT,
+                                0,
+                                MAX_WARMUP_OVERSHOOT),
+                        in.decimal("warmup.slack", DEFAULT_WARMUP_SLACK, 0, MAX_WARMUP_SLACK)));
     }
 
     private static Replication replication(Settings in) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -127,7 +127,8 @@
                         "",
                         database.connectionLimit(),
                         announced.shuttingDown(),
-                        true);
+                        true,
+                        announced.warmupLeftMillis() > 0 && database.warmupRatePerSecond() > 0);
         return endpoints.announce(instance, announced.sequence());
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/EndpointAnnouncement.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/EndpointAnnouncement.java
@@ -17,6 +17,7 @@
  * @param sequence increases with each announcement of an incarnation
  * @param primary true when it considers itself the primary
  * @param shuttingDown true when it is shutting down
+ * @param warmupLeftMillis time until it is warm; 0 when it is
  */
 public record EndpointAnnouncement(
         EndpointId endpoint,
@@ -27,4 +28,5 @@
         long startedUnixMillis,
         long sequence,
         boolean primary,
-        boolean shuttingDown) {}
+        boolean shuttingDown,
+        long warmupLeftMillis) {}
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
@@ -98,6 +98,7 @@
                     .put("term", member.timeline())
                     .put("follows", member.upstream())
                     .put("leaving", member.shuttingDown())
+                    .put("cold", member.cold())
                     .put("announced", fleet.membership().isFresh(member, EventLoop.nowNanos()));
         }
     }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
@@ -74,7 +74,9 @@
             markAlive(announced);
             return Future.succeededFuture();
         }
-        return log.propose(OPERATOR, "", current -> buildChanges(current, announced, wanted))
+        boolean wasCold = known != null && known.getCold();
+        return log.propose(
+                        OPERATOR, "", current -> buildChanges(current, announced, wanted, wasCold))
                 .onSuccess(version -> onCommitted(announced, version))
                 .mapEmpty();
     }
@@ -104,11 +106,17 @@
                 && other.getPort() == announced.address().port();
     }
 
+    /**
+     * Builds the changes of an announcement. An endpoint that has been marked as cold since the
+     * announcement came in stays cold, since a later one has to say that it is warm.
+     */
     private static List<Change> buildChanges(
-            Configuration now, InstanceAnnouncement announced, EndpointPut wanted) {
+            Configuration now, InstanceAnnouncement announced, EndpointPut put, boolean wasCold) {
         boolean databaseExists = now.database(announced.group().database()) != null;
-        if (!databaseExists
-                || wanted.equals(now.endpoint(announced.group(), announced.endpoint()))) {
+        EndpointPut known = now.endpoint(announced.group(), announced.endpoint());
+        boolean markedSince = known != null && known.getCold() && !wasCold;
+        EndpointPut wanted = markedSince ? put.toBuilder().setCold(true).build() : put;
+        if (!databaseExists || wanted.equals(known)) {
             return List.of();
         }
         List<Change> changes = new ArrayList<>();
@@ -130,7 +138,8 @@
 
     private void onCommitted(InstanceAnnouncement announced, long version) {
         Configuration now = log.state().configuration();
-        if (now.endpoint(announced.group(), announced.endpoint()) == null) {
+        EndpointPut registered = now.endpoint(announced.group(), announced.endpoint());
+        if (registered == null) {
             return;
         }
         for (InstanceAnnouncement other : fleet.membership().instances(announced.group())) {
@@ -141,14 +150,16 @@
                 fleet.membership().remove(other.endpoint(), other.group());
             }
         }
-        markAlive(announced);
+        markAlive(announced.withCold(registered.getCold()));
         LOG.infof(
-                "endpoint %s of %s at %s: primary %b, leaving %b, incarnation %d, version %d",
+                "endpoint %s of %s at %s: primary %b, leaving %b, cold %b, incarnation %d,"
+                        + " version %d",
                 announced.endpoint(),
                 announced.group(),
                 announced.address(),
                 announced.primary(),
                 announced.shuttingDown(),
+                registered.getCold(),
                 announced.incarnation(),
                 version);
     }
@@ -199,6 +210,7 @@
                 .setPrimary(announced.primary())
                 .setLeaving(announced.shuttingDown())
                 .setConnectionLimit(announced.connectionLimit())
+                .setCold(announced.cold())
                 .build();
     }
 
@@ -215,6 +227,7 @@
                 "",
                 put.getConnectionLimit(),
                 put.getLeaving(),
-                true);
+                true,
+                put.getCold());
     }
 }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -132,7 +132,9 @@
         long startUnixMillis = System.currentTimeMillis();
         shares = new FleetShares(startUnixMillis, settings.connectionFloor(), now);
         membership = new Membership(state.configuration(), startUnixMillis << 16);
-        rates = new RateOwners(state.configuration(), startUnixMillis << 16, now);
+        rates =
+                new RateOwners(
+                        state.configuration(), startUnixMillis << 16, now, settings.warmup());
         lastSeenVersion = state.configuration().version();
         loadEndpoints(now);
     }
@@ -158,8 +160,12 @@
         lastSeenVersion = state.configuration().version();
         if (entries == null) {
             membership.onConfigurationChange();
+            membership.updateCold();
         } else {
             inForceTracker.track(entries);
+            if (entries.stream().anyMatch(FleetService::mayChangeCold)) {
+                membership.updateCold();
+            }
             if (entries.stream().anyMatch(FleetService::changesPrimary)) {
                 membership.onConfigurationChange();
             }
@@ -171,6 +177,11 @@
         return entry.getChangesList().stream().anyMatch(Change::hasGroupState);
     }
 
+    private static boolean mayChangeCold(LogEntry entry) {
+        return entry.getChangesList().stream()
+                .anyMatch(change -> change.hasEndpointPut() || change.hasEvacuationRemoved());
+    }
+
     private void tick() {
         long now = EventLoop.nowNanos();
         if (inForceTracker.hasPending()) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InstanceAnnouncement.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/InstanceAnnouncement.java
@@ -23,6 +23,7 @@
  * @param shuttingDown true when it is draining before its shutdown
  * @param followsAutomatically true when its database discovers a new primary and replicates from it
  *     without a command from control
+ * @param cold true while it may receive only its database's warm-up rate
  */
 public record InstanceAnnouncement(
         EndpointId endpoint,
@@ -36,7 +37,56 @@
         String upstream,
         int connectionLimit,
         boolean shuttingDown,
-        boolean followsAutomatically) {
+        boolean followsAutomatically,
+        boolean cold) {
+    /** Creates the announcement of an instance that is not cold. */
+    public InstanceAnnouncement(
+            EndpointId endpoint,
+            GroupId group,
+            HostPort address,
+            String region,
+            String dataCenter,
+            long incarnation,
+            boolean primary,
+            long timeline,
+            String upstream,
+            int connectionLimit,
+            boolean shuttingDown,
+            boolean followsAutomatically) {
+        this(
+                endpoint,
+                group,
+                address,
+                region,
+                dataCenter,
+                incarnation,
+                primary,
+                timeline,
+                upstream,
+                connectionLimit,
+                shuttingDown,
+                followsAutomatically,
+                false);
+    }
+
+    /** Returns the announcement with another value of {@link #cold}. */
+    InstanceAnnouncement withCold(boolean isCold) {
+        return new InstanceAnnouncement(
+                endpoint,
+                group,
+                address,
+                region,
+                dataCenter,
+                incarnation,
+                primary,
+                timeline,
+                upstream,
+                connectionLimit,
+                shuttingDown,
+                followsAutomatically,
+                isCold);
+    }
+
     /**
      * Returns the instance as a target for calls.
      *
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
@@ -12,6 +12,7 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.EndpointPut;
 import org.chivevale.wire.proto.ProxyMember;
 
 /**
@@ -111,6 +112,25 @@
         onEndpointsChanged();
     }
 
+    /** Takes over which registered instances the configuration names as cold. */
+    public void updateCold() {
+        boolean changed = false;
+        for (Map.Entry<String, Announced> entry : instances.entrySet()) {
+            InstanceAnnouncement known = entry.getValue().announcement();
+            EndpointPut registered = configuration.endpoint(known.group(), known.endpoint());
+            if (registered != null && registered.getCold() != known.cold()) {
+                entry.setValue(
+                        new Announced(
+                                known.withCold(registered.getCold()),
+                                entry.getValue().expiryNanos()));
+                changed = true;
+            }
+        }
+        if (changed) {
+            onEndpointsChanged();
+        }
+    }
+
     /**
      * Adds or updates a proxy by its lease renewal.
      *
@@ -257,6 +277,7 @@
                 .setLeaving(instance.shuttingDown())
                 .setConnectionLimit(instance.connectionLimit())
                 .setInServiceTerm(inServiceTerm(instance))
+                .setCold(instance.cold())
                 .build();
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.chivevale.control.ControlSettings;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Account;
 import org.chivevale.core.config.Configuration;
@@ -10,6 +11,7 @@
 import org.chivevale.wire.proto.RateGrant;
 import org.chivevale.wire.proto.RateRequest;
 import org.chivevale.wire.proto.RateWant;
+import org.chivevale.wire.proto.WarmupWant;
 
 /**
  * The token buckets of the client accounts, which the leader owns and grants to proxies.
@@ -25,6 +27,7 @@
     private final Map<ClientAccountId, AccountBucket> owners = new HashMap<>();
     private final long firstGrantId;
     private final long leaderSinceNanos;
+    private final WarmupOwners warmups;
 
     private static final class AccountBucket {
         final RateOwner owner;
@@ -41,11 +44,17 @@
      *
      * @param leaderSinceNanos when this process became leader; the tokens that earlier leaders
      *     granted are unknown, so each bucket starts empty at that time
+     * @param warmup by how much a second may exceed the rate of a cold endpoint
      */
-    RateOwners(Configuration configuration, long firstGrantId, long leaderSinceNanos) {
+    RateOwners(
+            Configuration configuration,
+            long firstGrantId,
+            long leaderSinceNanos,
+            ControlSettings.Warmup warmup) {
         this.leaderSinceNanos = leaderSinceNanos;
         this.configuration = configuration;
         this.firstGrantId = firstGrantId;
+        this.warmups = new WarmupOwners(configuration, warmup, leaderSinceNanos);
     }
 
     RateAnswer grantRates(RateRequest request, long nowNanos) {
@@ -54,6 +63,9 @@
         for (RateWant want : request.getWantsList()) {
             answer.addGrants(grant(holder, want, nowNanos));
         }
+        for (WarmupWant want : request.getWarmupWantsList()) {
+            answer.addWarmupGrants(warmups.grant(want, nowNanos));
+        }
         return answer.build();
     }
 
--- a/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
@@ -114,6 +114,29 @@
         return fallback;
     }
 
+    /**
+     * Reads a number, whole or not, with a default.
+     *
+     * @param key dotted key
+     * @param fallback default when the key is missing
+     * @param min smallest accepted value
+     * @param max largest accepted value
+     * @return the number
+     */
+    public double decimal(String key, double fallback, double min, double max) {
+        Object value = value(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Number number
+                && number.doubleValue() >= min
+                && number.doubleValue() <= max) {
+            return number.doubleValue();
+        }
+        reject(key, value, "a number from " + min + " to " + max);
+        return fallback;
+    }
+
     /**
      * Reads a boolean with a default.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -54,6 +54,7 @@
     private final long incarnation = System.currentTimeMillis();
     private final List<RenewalParticipant> renewalParticipants = new ArrayList<>();
     private final List<FenceParticipant> fenceParticipants = new ArrayList<>();
+    private final List<RateParticipant> rateParticipants = new ArrayList<>();
     private final FrameClient client = new FrameClient(CONNECT_TIMEOUT_MILLIS);
     private EventLoop loop;
     private Timer renewTimer;
@@ -106,6 +107,15 @@
         fenceParticipants.add(participant);
     }
 
+    /**
+     * Adds a service to all later requests for rate tokens.
+     *
+     * @param participant called on the event loop
+     */
+    public void addRateParticipant(RateParticipant participant) {
+        rateParticipants.add(participant);
+    }
+
     /**
      * Replaces the configured addresses of control, as after a reload of the settings.
      *
@@ -373,6 +383,7 @@
         rateCorrelation++;
         rateSentAtNanos = EventLoop.nowNanos();
         rateCallback = onAnswer;
+        rateParticipants.forEach(participant -> participant.addTo(request, rateSentAtNanos));
         request.setProxyId(settings.id()).setIncarnation(incarnation);
         connection.send(
                 Frame.newBuilder()
@@ -384,6 +395,8 @@
     private void completeRateRequest(RateAnswer answer) {
         Consumer<RateAnswer> callback = rateCallback;
         rateCallback = null;
+        long sentAtNanos = rateSentAtNanos;
+        rateParticipants.forEach(participant -> participant.onRateAnswer(answer, sentAtNanos));
         callback.accept(answer);
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -32,6 +32,7 @@
     private final Configuration configuration = new Configuration();
     private final LeaseHolder lease;
     private final Map<String, List<EndpointMember>> endpointsByGroup = new HashMap<>();
+    private final Set<String> coldEndpoints = new HashSet<>();
     private final Map<String, ProxyMember> proxies = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private final Set<GroupId> fencing = new HashSet<>();
@@ -115,10 +116,14 @@
     private void updateMembers(RenewAnswer answer) {
         membersVersion = answer.getMembersVersion();
         endpointsByGroup.clear();
+        coldEndpoints.clear();
         for (EndpointMember member : answer.getEndpointsList()) {
             endpointsByGroup
                     .computeIfAbsent(member.getGroupId(), key -> new ArrayList<>())
                     .add(member);
+            if (member.getCold()) {
+                coldEndpoints.add(coldKey(member.getGroupId(), member.getEndpointId()));
+            }
         }
         proxies.clear();
         answer.getProxiesList().forEach(proxy -> proxies.put(proxy.getProxyId(), proxy));
@@ -200,6 +205,22 @@
         return endpointsByGroup.getOrDefault(group.toString(), List.of());
     }
 
+    /**
+     * Tells whether an endpoint may receive only its database's warm-up rate.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return true while control names it as cold
+     */
+    public boolean isCold(GroupId group, EndpointId endpoint) {
+        return !coldEndpoints.isEmpty()
+                && coldEndpoints.contains(coldKey(group.toString(), endpoint.value()));
+    }
+
+    private static String coldKey(String group, String endpoint) {
+        return group + "/" + endpoint;
+    }
+
     /**
      * Finds the region of a data centre by the endpoints in it.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -17,6 +17,7 @@
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RegionRules;
+import org.chivevale.proxy.internal.rate.WarmupGate;
 import org.chivevale.wire.proto.EndpointMember;
 
 /**
@@ -24,7 +25,8 @@
  *
  * <p>Invariants: writes and reads that must see every commit go to the primary only; a replica is
  * selected only with a required position that bounds the read's staleness; an endpoint is selected
- * only in a region that the route and the client account permit. Used on the event loop.
+ * only in a region that the route and the client account permit; a cold endpoint is selected only
+ * while a warm-up token is held. Used on the event loop.
  */
 final class PlacementSelector {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -36,14 +38,17 @@
     private final Directory directory;
     private final SessionPools pools;
     private final RegionRules regions;
+    private final WarmupGate warmup;
 
     private record Candidate(Placement placement, MemberView view) {}
 
-    PlacementSelector(ProxySettings settings, Directory directory, SessionPools pools) {
+    PlacementSelector(
+            ProxySettings settings, Directory directory, SessionPools pools, WarmupGate warmup) {
         this.settings = settings;
         this.directory = directory;
         this.pools = pools;
         this.regions = new RegionRules(settings, directory);
+        this.warmup = warmup;
     }
 
     static GroupId groupOf(Route route) {
@@ -64,19 +69,24 @@
     }
 
     private boolean isPermitted(Placement placement, AllowedRegions allowed) {
-        return regions.permits(
-                allowed, placement.group().id(), placement.pool().target().endpoint());
+        return regions.permits(allowed, placement.group().id(), endpoint(placement));
     }
 
     /**
-     * Returns the primary's placement, or null while the group has none, it is being fenced, or its
-     * region is not permitted.
+     * Returns the primary's placement, or null while the group has none, it is being fenced, its
+     * region is not permitted, or it is cold and the statement has to wait for a token.
      */
-    Placement selectPrimary(Route route, ClientAccountId account) {
+    Placement selectPrimary(Route route, ClientAccountId account, Object statement) {
         Placement primary = findPrimary(route);
-        return primary == null || !isPermitted(primary, allowedRegions(route, account))
-                ? null
-                : primary;
+        boolean usable =
+                primary != null
+                        && isPermitted(primary, allowedRegions(route, account))
+                        && warmup.isUsable(primary.group().id(), endpoint(primary), statement);
+        return usable ? primary : null;
+    }
+
+    private static EndpointId endpoint(Placement placement) {
+        return placement.pool().target().endpoint();
     }
 
     private Placement findPrimary(Route route) {
@@ -92,20 +102,34 @@
      * @param account the client account, which may restrict the regions
      * @param lastCommit the position of the session's last commit
      * @param excluded endpoints to leave out, where the read has failed
+     * @param statement identifies the read in requests for tokens
      */
     Placement selectForRead(
             Route route,
             ClientAccountId account,
             TermPosition lastCommit,
-            Set<EndpointId> excluded) {
+            Set<EndpointId> excluded,
+            Object statement) {
         if (route.readPolicy() == ReadPolicy.PRIMARY) {
-            return selectPrimary(route, account);
+            return selectPrimary(route, account, statement);
         }
         AllowedRegions allowed = allowedRegions(route, account);
         List<Candidate> candidates = candidates(route, lastCommit);
         candidates.removeIf(candidate -> !isPermitted(candidate.placement(), allowed));
-        candidates.removeIf(
-                candidate -> excluded.contains(candidate.placement().pool().target().endpoint()));
+        candidates.removeIf(candidate -> excluded.contains(endpoint(candidate.placement())));
+        Placement best = choose(candidates);
+        if (best == null || warmup.isUsable(best.group().id(), endpoint(best), statement)) {
+            return best;
+        }
+        candidates.removeIf(candidate -> !isUsable(candidate.placement()));
+        return choose(candidates);
+    }
+
+    private boolean isUsable(Placement placement) {
+        return warmup.isUsable(placement.group().id(), endpoint(placement));
+    }
+
+    private static Placement choose(List<Candidate> candidates) {
         List<MemberView> views = new ArrayList<>();
         candidates.forEach(candidate -> views.add(candidate.view()));
         int best = MemberChoice.choose(views);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -17,6 +17,7 @@
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.rate.WarmupGate;
 
 /**
  * The statement execution state that all sessions of a proxy share.
@@ -31,16 +32,22 @@
     private final Directory directory;
     private final SessionPools pools;
     private final PlacementSelector selector;
+    private final WarmupGate warmup;
     private final Map<Prepared, String> names = new HashMap<>();
     private final Set<StatementExecution> executions = new LinkedHashSet<>();
     private long lastNameNumber;
 
     SessionEngine(
-            EventLoop loop, Directory directory, SessionPools pools, PlacementSelector selector) {
+            EventLoop loop,
+            Directory directory,
+            SessionPools pools,
+            PlacementSelector selector,
+            WarmupGate warmup) {
         this.loop = loop;
         this.directory = directory;
         this.pools = pools;
         this.selector = selector;
+        this.warmup = warmup;
     }
 
     /**
@@ -50,12 +57,21 @@
      * @param settings the process's settings
      * @param directory lease, configuration and members
      * @param pools connections to endpoints
+     * @param warmup admits statements to cold endpoints
      * @return the engine
      */
     public static SessionEngine create(
-            EventLoop loop, ProxySettings settings, Directory directory, SessionPools pools) {
+            EventLoop loop,
+            ProxySettings settings,
+            Directory directory,
+            SessionPools pools,
+            WarmupGate warmup) {
         return new SessionEngine(
-                loop, directory, pools, new PlacementSelector(settings, directory, pools));
+                loop,
+                directory,
+                pools,
+                new PlacementSelector(settings, directory, pools, warmup),
+                warmup);
     }
 
     boolean isLeased() {
@@ -146,10 +162,25 @@
             ClientAccountId account,
             boolean primaryOnly,
             TermPosition lastCommit,
-            Set<EndpointId> excluded) {
+            Set<EndpointId> excluded,
+            Object statement) {
         return primaryOnly
-                ? selector.selectPrimary(route, account)
-                : selector.selectForRead(route, account, lastCommit, excluded);
+                ? selector.selectPrimary(route, account, statement)
+                : selector.selectForRead(route, account, lastCommit, excluded, statement);
+    }
+
+    /** Admits a statement to its endpoint, directly before it is sent there. */
+    boolean tryAdmit(Placement placement, Object statement) {
+        return warmup.tryAdmit(
+                placement.group().id(), placement.pool().target().endpoint(), statement);
+    }
+
+    /** Lets statements that wait for an endpoint go on, the most urgent first. */
+    public void resumeByUrgency() {
+        List<StatementExecution> waiting = new ArrayList<>(executions);
+        waiting.removeIf(execution -> !execution.isWaitingForEndpoint());
+        waiting.sort(StatementExecution.BY_URGENCY);
+        waiting.forEach(StatementExecution::resume);
     }
 
     /** Returns why a request can run nowhere because of its regions, or null when it can. */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -1,5 +1,6 @@
 package org.chivevale.proxy.internal.session;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -25,7 +26,8 @@
  * <p>Invariants: a statement that may have run and can change data is sent only once; a reply of
  * the primary counts only while this proxy holds a lease and its configuration still names that
  * endpoint as primary in the same term; a statement that could not be sent before {@link
- * #RETRY_WINDOW_SHARE} of its timeout had passed fails as not run. Used on the event loop.
+ * #RETRY_WINDOW_SHARE} of its timeout had passed fails as not run; each statement sent to a cold
+ * endpoint has spent a warm-up token. Used on the event loop.
  */
 final class StatementExecution {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -43,6 +45,12 @@
 
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
+    private static final long RESELECT_DELAY_MILLIS = 1;
+
+    /** Orders statements by the urgency of their route, then by age. */
+    static final Comparator<StatementExecution> BY_URGENCY =
+            Comparator.<StatementExecution>comparingInt(each -> each.context.route().priority())
+                    .thenComparingLong(each -> each.startedAtNanos);
 
     /**
      * A statement to execute.
@@ -119,6 +127,7 @@
     private boolean isTimedOut;
     private boolean isFinished;
     private boolean isRerouting;
+    private boolean isAwaitingToken;
     private long sentAtNanos;
     private int attempts;
     private String lastDetail = "";
@@ -189,7 +198,8 @@
                         context.account(),
                         operation.primaryOnly(),
                         context.lastCommit(),
-                        excluded);
+                        excluded,
+                        this);
         if (placement == null) {
             String exclusion =
                     engine.findRegionExclusion(
@@ -249,6 +259,11 @@
             }
             return;
         }
+        isAwaitingToken = !engine.tryAdmit(placement, this);
+        if (isAwaitingToken) {
+            awaitToken();
+            return;
+        }
         attempts++;
         connection.applySettings(context.settings());
         Statement statement = operation.statement();
@@ -268,6 +283,33 @@
                         operation.id(), statement, requiredPosition, reply -> onReply(used, reply));
     }
 
+    /** Waits for a warm-up token; unless a transaction is open, another endpoint may serve. */
+    private void awaitToken() {
+        lastDetail = "the endpoint is cold";
+        if (!isPinned) {
+            isAwaitingToken = false;
+            releaseConnection(true);
+            placement = null;
+            needsPlacement = true;
+            engine.runAfter(RESELECT_DELAY_MILLIS, this::retryPlacement);
+        }
+    }
+
+    /** Returns true while the statement waits for an endpoint that may run it. */
+    boolean isWaitingForEndpoint() {
+        boolean isUnplaced = needsPlacement && connection == null && waiter == null;
+        return !isFinished && (isUnplaced || isAwaitingToken);
+    }
+
+    /** Looks again for an endpoint, or sends the statement of an open transaction. */
+    void resume() {
+        if (!isFinished && isAwaitingToken) {
+            send();
+        } else {
+            retryPlacement();
+        }
+    }
+
     private void onReply(PooledConnection used, EndpointReply reply) {
         used.pool().health().recordEnded();
         if (isFinished) {
@@ -394,8 +436,8 @@
                         SessionError.BUSY,
                         lastDetail.isEmpty() ? "no connection in time" : lastDetail);
             }
-        } else if (needsPlacement) {
-            retryPlacement();
+        } else if (isWaitingForEndpoint()) {
+            resume();
         } else if (waiter != null && !operation.primaryOnly()) {
             moveToFreeEndpoint();
         }
@@ -408,7 +450,12 @@
     private void moveToFreeEndpoint() {
         Placement best =
                 engine.selectPlacement(
-                        context.route(), context.account(), false, context.lastCommit(), excluded);
+                        context.route(),
+                        context.account(),
+                        false,
+                        context.lastCommit(),
+                        excluded,
+                        this);
         boolean isElsewhere = best != null && best.pool() != placement.pool();
         if (isElsewhere && best.pool().hasFreeConnection()) {
             placement.pool().cancel(waiter);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -27,6 +27,7 @@
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.rate.RateLimiter;
+import org.chivevale.proxy.internal.rate.WarmupGate;
 import org.chivevale.proxy.internal.session.SessionEngine;
 import org.chivevale.proxy.internal.session.SessionPools;
 import org.chivevale.proxy.internal.session.StatementExecutor;
@@ -94,11 +95,16 @@
         rateLimiter = kernel.find(RateLimiter.NAME, RateLimiter.class);
         registry = kernel.find(Metrics.NAME, Metrics.class).registry();
         registry.gauge("chivevale.proxy.sessions", this, self -> self.openSessions);
-        engine = SessionEngine.create(loop, settings, directory, pools);
+        ControlLink link = kernel.find(ControlLink.NAME, ControlLink.class);
+        WarmupGate warmup = new WarmupGate(loop, directory, link, registry);
+        engine = SessionEngine.create(loop, settings, directory, pools, warmup);
         firstLeaseDeadlineNanos =
                 EventLoop.nowNanos() + settings.timing().firstLeaseWaitMillis() * NANOS_PER_MILLI;
-        ControlLink link = kernel.find(ControlLink.NAME, ControlLink.class);
-        loop.runAndWait(() -> link.addFenceParticipant(engine::hasInFlightAtPrimary));
+        loop.runAndWait(
+                () -> {
+                    link.addFenceParticipant(engine::hasInFlightAtPrimary);
+                    warmup.start(engine::resumeByUrgency);
+                });
         loop.repeat(this::tick);
     }
 
