--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/WarmupSimulation.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/WarmupSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -11,9 +12,10 @@
 /**
  * Simulates proxies that send requests to one cold endpoint with tokens of a leader.
  *
- * <p>Messages take random times. Faults: proxies freeze, so that what arrives meanwhile waits;
- * answers are lost or come late; proxies restart; the leader is replaced by one that knows nothing
- * of its grants. Clocks of proxies drift. Time advances in steps of a millisecond. Not thread safe.
+ * <p>Messages take random times. Faults: proxies freeze, one or all at once, so that what arrives
+ * meanwhile waits; all get a burst of requests; answers are lost or come late; proxies restart; the
+ * leader is replaced by one that knows nothing of its grants. Clocks of proxies drift. Time
+ * advances in steps of a millisecond. Not thread safe.
  */
 final class WarmupSimulation {
     static final long MILLI = 1_000_000;
@@ -21,6 +23,8 @@
     private static final long MARGIN_NANOS = 10 * MILLI;
     private static final int WINDOW_MILLIS = 1000;
     private static final int LONGEST_LATE_MILLIS = 800;
+    private static final int LONGEST_WAIT_MILLIS = 500;
+    private static final int BURST = 6;
     private static final int LONGEST_FREEZE_MILLIS = 1500;
     private static final int CLOCK_DRIFT_PPM = 1000;
     private static final WarmupTarget TARGET =
@@ -59,6 +63,7 @@
                 1 + (random.nextInt(2 * CLOCK_DRIFT_PPM) - CLOCK_DRIFT_PPM) / 1_000_000.0;
         WarmupTokens tokens = new WarmupTokens();
         final List<Runnable> inbox = new ArrayList<>();
+        final Map<Object, Integer> waitingSinceMillis = new LinkedHashMap<>();
         int frozenUntilMillis;
 
         long clockNanos() {
@@ -88,6 +93,7 @@
             if (random.nextDouble() < requestProbability) {
                 request(new Object());
             }
+            waitingSinceMillis.values().removeIf(since -> nowMillis - since > LONGEST_WAIT_MILLIS);
             for (WarmupTokens.Want want : tokens.takeWants(clockNanos())) {
                 requestTokens(tokens, want.tokens());
             }
@@ -99,15 +105,21 @@
                 int connectionWaitMillis = random.nextInt(4) == 0 ? random.nextInt(400) : 0;
                 schedule(connectionWaitMillis, () -> deliver(() -> send(statement)));
             } else {
-                tokens.want(TARGET, statement, clockNanos());
+                await(statement);
             }
         }
 
+        void await(Object statement) {
+            waitingSinceMillis.putIfAbsent(statement, nowMillis);
+            tokens.want(TARGET, statement, clockNanos());
+        }
+
         void send(Object statement) {
             if (tokens.trySpend(TARGET, clockNanos())) {
                 sentAtMillis.add(nowMillis);
+                waitingSinceMillis.remove(statement);
             } else {
-                tokens.want(TARGET, statement, clockNanos());
+                await(statement);
             }
         }
 
@@ -133,6 +145,7 @@
         void receive(WarmupTokens requester, int granted, long sentNanos) {
             if (requester == tokens) {
                 tokens.addGrant(TARGET, granted, sentNanos + VALID_NANOS, clockNanos());
+                List.copyOf(waitingSinceMillis.keySet()).forEach(this::request);
             }
         }
     }
@@ -163,6 +176,19 @@
         if (random.nextInt(2500) == 0) {
             startLeader();
         }
+        if (random.nextInt(1000) == 0) {
+            int untilMillis = nowMillis + random.nextInt(LONGEST_FREEZE_MILLIS);
+            proxies.forEach(each -> each.frozenUntilMillis = untilMillis);
+        }
+        if (random.nextInt(700) == 0) {
+            proxies.forEach(this::requestBurst);
+        }
+    }
+
+    private void requestBurst(Proxy proxy) {
+        for (int i = 0; i < BURST; i++) {
+            proxy.deliver(() -> proxy.request(new Object()));
+        }
     }
 
     int sent() {
