Ask an excluded primary for its position

Cause: reads of a route that excludes the primary's region had no position of the primary to compare replicas with, unless other statements of the same proxy ran there; they waited and failed. Change: the proxy asks the primary with a message without text of callers, on demand.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -39,6 +39,7 @@
     private final SessionPools pools;
     private final RegionRules regions;
     private final WarmupGate warmup;
+    private final PositionProbe probe;
 
     private record Candidate(Placement placement, MemberView view) {}
 
@@ -49,6 +50,7 @@
         this.pools = pools;
         this.regions = new RegionRules(settings, directory);
         this.warmup = warmup;
+        this.probe = new PositionProbe(directory, pools, warmup);
     }
 
     static GroupId groupOf(Route route) {
@@ -116,6 +118,7 @@
         AllowedRegions allowed = allowedRegions(route, account);
         List<Candidate> candidates = candidates(route, lastCommit);
         candidates.removeIf(candidate -> !isPermitted(candidate.placement(), allowed));
+        learnPosition(route, account, allowed);
         candidates.removeIf(candidate -> excluded.contains(endpoint(candidate.placement())));
         Placement best = choose(candidates);
         if (best == null || warmup.isUsable(best.group().id(), endpoint(best), statement)) {
@@ -125,6 +128,31 @@
         return choose(candidates);
     }
 
+    /** Asks an excluded primary for its position before the last known one is too old. */
+    private void learnPosition(Route route, ClientAccountId account, AllowedRegions allowed) {
+        Placement primary = allowed.isRestricted() ? findPrimary(route) : null;
+        if (primary == null || isPermitted(primary, allowed)) {
+            return;
+        }
+        GroupId group = primary.group().id();
+        boolean evacuated =
+                directory
+                        .configuration()
+                        .isEvacuated(findPrimaryMember(primary.group()).getDataCenter());
+        boolean isMemberPermitted = regions.findExclusion(allowed, primary.group(), false) == null;
+        long halfStalenessNanos = stalenessNanos(route) / 2;
+        boolean known =
+                pools.samples(group).requiredPosition(EventLoop.nowNanos(), halfStalenessNanos)
+                        != null;
+        if (halfStalenessNanos > 0 && isMemberPermitted && !evacuated && !known) {
+            probe.request(primary, account);
+        }
+    }
+
+    private static long stalenessNanos(Route route) {
+        return route.maxStalenessMillis() * NANOS_PER_MILLI - STALENESS_MARGIN_NANOS;
+    }
+
     private boolean isUsable(Placement placement) {
         return warmup.isUsable(placement.group().id(), endpoint(placement));
     }
@@ -145,8 +173,8 @@
             EndpointMember member = findPrimaryMember(group);
             candidates.add(new Candidate(primary, view(primary, member, now)));
         }
-        long stalenessNanos = route.maxStalenessMillis() * NANOS_PER_MILLI - STALENESS_MARGIN_NANOS;
-        TermPosition required = pools.samples(group.id()).requiredPosition(now, stalenessNanos);
+        TermPosition required =
+                pools.samples(group.id()).requiredPosition(now, stalenessNanos(route));
         if (required == null) {
             return candidates;
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PooledConnection.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PooledConnection.java
@@ -4,10 +4,12 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement;
 import org.chivevale.core.interactive.Statement.Prepared;
+import org.chivevale.database.session.EndpointReply;
 import org.chivevale.database.session.SessionConnection;
 
 /**
@@ -83,6 +85,14 @@
         settings.putAll(wanted);
     }
 
+    /** Resets settings and prepared statements; the reply carries the endpoint's position. */
+    void reset(Consumer<EndpointReply> done) {
+        settings.clear();
+        prepared.clear();
+        settingsUnknown = false;
+        connection.execute(SessionConnection.OWN_ID, new Statement.Discard(), null, done::accept);
+    }
+
     /** Prepares a statement under the proxy's name for it, unless that was done before. */
     void ensurePrepared(Prepared wanted, String name) {
         if (prepared.add(wanted)) {
