Hold statements to restarted endpoints to tokens

Cause: an endpoint that restarts at its old address was sent its full share until its announcement had reached the proxies, and a token could be spent on a connection that opened later than the token was valid. Change: an endpoint that refused connections needs tokens until its announcement is due; a token is spent once the connection is open; a failing cold primary is still tried, so that proxies notice its end.

--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/WarmupSimulationTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/WarmupSimulationTest.java
@@ -107,4 +107,23 @@
         tokens.retain(target -> false);
         assertFalse(tokens.hasWants());
     }
+
+    /** Guards against a restarted endpoint that counts as warm until it has announced itself. */
+    @Example
+    void anEndpointThatRefusedConnectionsCountsAsColdUntilItsAnnouncementIsDue() {
+        RestartWatch watch = new RestartWatch(3000 * MILLI);
+        watch.onReply(TARGET, 0);
+        assertFalse(watch.isPresumedCold(TARGET, 0));
+        watch.onRefused(TARGET, 7);
+        assertTrue(watch.isPresumedCold(TARGET, 60_000 * MILLI));
+        watch.onMembersChanged(target -> 7);
+        watch.onReply(TARGET, 60_000 * MILLI);
+        watch.onReply(TARGET, 62_000 * MILLI);
+        assertTrue(watch.isPresumedCold(TARGET, 62_999 * MILLI));
+        assertFalse(watch.isPresumedCold(TARGET, 63_000 * MILLI));
+        watch.onRefused(TARGET, 7);
+        watch.onMembersChanged(target -> 8);
+        assertFalse(watch.isPresumedCold(TARGET, 64_000 * MILLI));
+        assertTrue(watch.isEmpty());
+    }
 }
--- a/org.chivevale.database/src/main/java/org/chivevale/database/session/SessionConnection.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/session/SessionConnection.java
@@ -36,4 +36,33 @@
      * Closes the connection; pending statements get a reply, and an open transaction rolls back.
      */
     void close();
+
+    /**
+     * Runs an action once a statement would be sent at once, or the connection has failed.
+     *
+     * <p>Statements that are executed before that are sent when the connection opens.
+     *
+     * @param action runs now if the connection is open
+     */
+    default void whenOpen(Runnable action) {
+        action.run();
+    }
+
+    /**
+     * Tells whether the connection is open, so that statements are sent at once.
+     *
+     * @return false while it is being opened
+     */
+    default boolean isOpen() {
+        return true;
+    }
+
+    /**
+     * Tells whether the connection failed because nothing listens at the endpoint's address.
+     *
+     * @return true after such a failure
+     */
+    default boolean wasRefused() {
+        return false;
+    }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -217,6 +217,22 @@
                 && coldEndpoints.contains(coldKey(group.toString(), endpoint.value()));
     }
 
+    /**
+     * Returns the incarnation of an endpoint.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return the incarnation in the list of members; 0 when it is not in it
+     */
+    public long incarnation(GroupId group, EndpointId endpoint) {
+        for (EndpointMember member : members(group)) {
+            if (member.getEndpointId().equals(endpoint.value())) {
+                return member.getIncarnation();
+            }
+        }
+        return 0;
+    }
+
     private static String coldKey(String group, String endpoint) {
         return group + "/" + endpoint;
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/WarmupGate.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/WarmupGate.java
@@ -5,6 +5,7 @@
 import org.chivevale.core.config.Database;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
+import org.chivevale.core.rate.RestartWatch;
 import org.chivevale.core.rate.WarmupTarget;
 import org.chivevale.core.rate.WarmupTokens;
 import org.chivevale.process.EventLoop;
@@ -27,10 +28,14 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 10;
 
+    /** By then an endpoint that has replied has announced itself and proxies were told. */
+    private static final long ANNOUNCEMENT_NANOS = 3_000 * NANOS_PER_MILLI;
+
     private final EventLoop loop;
     private final Directory directory;
     private final ControlLink link;
     private final WarmupTokens tokens = new WarmupTokens();
+    private final RestartWatch restarts = new RestartWatch(ANNOUNCEMENT_NANOS);
     private final Counter granted;
     private final Counter spent;
     private final Counter deferred;
@@ -63,12 +68,59 @@
     public void start(Runnable tokensGranted) {
         onGranted = tokensGranted;
         link.addRateParticipant(this);
-        directory.addListener(
-                () -> tokens.retain(target -> directory.isCold(target.group(), target.endpoint())));
+        directory.addListener(this::onDirectoryChanged);
+    }
+
+    private void onDirectoryChanged() {
+        restarts.onMembersChanged(
+                target -> directory.incarnation(target.group(), target.endpoint()));
+        tokens.retain(target -> isCold(target.group(), target.endpoint()));
+    }
+
+    /**
+     * Tells whether an endpoint needs tokens.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return true while it is known or presumed to be cold
+     */
+    public boolean isCold(GroupId group, EndpointId endpoint) {
+        return directory.isCold(group, endpoint)
+                || !restarts.isEmpty()
+                        && restarts.isPresumedCold(
+                                new WarmupTarget(group, endpoint), EventLoop.nowNanos());
+    }
+
+    /**
+     * Returns true while an endpoint is chosen only with a token; attempts to connect need none.
+     */
+    private boolean isExcluded(GroupId group, EndpointId endpoint) {
+        return directory.isCold(group, endpoint)
+                || !restarts.isEmpty()
+                        && restarts.isBackAndPresumedCold(
+                                new WarmupTarget(group, endpoint), EventLoop.nowNanos());
+    }
+
+    /**
+     * Notes the end of an attempt at an endpoint.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @param refused true when nothing listens at its address
+     * @param replied true when it has accepted a connection or replied
+     */
+    public void recordAttempt(
+            GroupId group, EndpointId endpoint, boolean refused, boolean replied) {
+        if (refused && hasRate(group)) {
+            restarts.onRefused(
+                    new WarmupTarget(group, endpoint), directory.incarnation(group, endpoint));
+        } else if (replied && !restarts.isEmpty()) {
+            restarts.onReply(new WarmupTarget(group, endpoint), EventLoop.nowNanos());
+        }
     }
 
     /**
-     * Tells whether a request may be sent to an endpoint now; if not, requests a token for it.
+     * Tells whether an endpoint may be chosen now; if not, requests a token for it.
      *
      * @param group the group
      * @param endpoint the endpoint
@@ -76,7 +128,7 @@
      * @return true for an endpoint that is not cold, or while a token is held
      */
     public boolean isUsable(GroupId group, EndpointId endpoint, Object requester) {
-        if (!directory.isCold(group, endpoint)) {
+        if (!isExcluded(group, endpoint)) {
             return true;
         }
         WarmupTarget target = new WarmupTarget(group, endpoint);
@@ -88,14 +140,14 @@
     }
 
     /**
-     * Tells whether a request may be sent to an endpoint now.
+     * Tells whether an endpoint may be chosen now.
      *
      * @param group the group
      * @param endpoint the endpoint
      * @return true for an endpoint that is not cold, or while a token is held
      */
     public boolean isUsable(GroupId group, EndpointId endpoint) {
-        return !directory.isCold(group, endpoint)
+        return !isExcluded(group, endpoint)
                 || hasRate(group)
                         && tokens.isAvailable(
                                 new WarmupTarget(group, endpoint), EventLoop.nowNanos());
@@ -110,7 +162,7 @@
      * @return false when the request may not be sent now
      */
     public boolean tryAdmit(GroupId group, EndpointId endpoint, Object requester) {
-        if (!directory.isCold(group, endpoint)) {
+        if (!isCold(group, endpoint)) {
             return true;
         }
         WarmupTarget target = new WarmupTarget(group, endpoint);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -76,14 +76,18 @@
 
     /**
      * Returns the primary's placement, or null while the group has none, it is being fenced, its
-     * region is not permitted, or it is cold and the statement has to wait for a token.
+     * region is not permitted, or it is cold and the statement has to wait for a token. While it
+     * fails, it is selected without one, so that attempts to connect show whether it is gone; the
+     * token is needed once a connection is open.
      */
     Placement selectPrimary(Route route, ClientAccountId account, Object statement) {
         Placement primary = findPrimary(route);
         boolean usable =
                 primary != null
                         && isPermitted(primary, allowedRegions(route, account))
-                        && warmup.isUsable(primary.group().id(), endpoint(primary), statement);
+                        && (primary.pool().health().isFailing()
+                                || warmup.isUsable(
+                                        primary.group().id(), endpoint(primary), statement));
         return usable ? primary : null;
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -12,6 +12,7 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
+import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement.Prepared;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.process.EventLoop;
@@ -175,6 +176,27 @@
                 placement.group().id(), placement.pool().target().endpoint(), statement);
     }
 
+    /** Returns true while a statement needs a token to be sent to its endpoint. */
+    boolean needsToken(Placement placement) {
+        return warmup.isCold(placement.group().id(), placement.pool().target().endpoint());
+    }
+
+    /** Notes that an endpoint has accepted a connection. */
+    void recordOpen(PooledConnection used) {
+        warmup.recordAttempt(
+                used.pool().target().group(), used.pool().target().endpoint(), false, true);
+    }
+
+    /** Notes how an attempt ended, by which a restart of the endpoint shows. */
+    void recordAttempt(PooledConnection used, EndpointReply reply) {
+        boolean replied = reply.reply() != Reply.UNREACHABLE && reply.reply() != Reply.LOST;
+        warmup.recordAttempt(
+                used.pool().target().group(),
+                used.pool().target().endpoint(),
+                reply.reply() == Reply.UNREACHABLE && used.connection().wasRefused(),
+                replied);
+    }
+
     /** Lets statements that wait for an endpoint go on, the most urgent first. */
     public void resumeByUrgency() {
         List<StatementExecution> waiting = new ArrayList<>(executions);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -45,7 +45,6 @@
 
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
-    private static final long RESELECT_DELAY_MILLIS = 1;
 
     /** Orders statements by the urgency of their route, then by age. */
     static final Comparator<StatementExecution> BY_URGENCY =
@@ -259,9 +258,7 @@
             }
             return;
         }
-        isAwaitingToken = !engine.tryAdmit(placement, this);
-        if (isAwaitingToken) {
-            awaitToken();
+        if (isHeldBack()) {
             return;
         }
         attempts++;
@@ -283,15 +280,43 @@
                         operation.id(), statement, requiredPosition, reply -> onReply(used, reply));
     }
 
+    /**
+     * Returns true when the statement has to wait for a warm-up token. It is spent once the
+     * connection is open, so that the statement leaves at once; a failed connection needs none.
+     */
+    private boolean isHeldBack() {
+        PooledConnection used = connection;
+        isAwaitingToken = false;
+        if (!used.connection().usable() || !engine.needsToken(placement)) {
+            return false;
+        }
+        if (!used.connection().isOpen()) {
+            used.connection().whenOpen(() -> sendOnceOpen(used));
+            return true;
+        }
+        engine.recordOpen(used);
+        boolean admitted = engine.tryAdmit(placement, this);
+        if (!admitted) {
+            awaitToken();
+        }
+        return !admitted;
+    }
+
+    private void sendOnceOpen(PooledConnection opened) {
+        if (!isFinished && !isInFlight && connection == opened) {
+            send();
+        }
+    }
+
     /** Waits for a warm-up token; unless a transaction is open, another endpoint may serve. */
     private void awaitToken() {
         lastDetail = "the endpoint is cold";
+        isAwaitingToken = isPinned;
         if (!isPinned) {
-            isAwaitingToken = false;
             releaseConnection(true);
             placement = null;
             needsPlacement = true;
-            engine.runAfter(RESELECT_DELAY_MILLIS, this::retryPlacement);
+            engine.runAfter(RETRY_DELAY_MILLIS, this::retryPlacement);
         }
     }
 
@@ -312,6 +337,7 @@
 
     private void onReply(PooledConnection used, EndpointReply reply) {
         used.pool().health().recordEnded();
+        engine.recordAttempt(used, reply);
         if (isFinished) {
             return;
         }
