--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -136,7 +136,9 @@
         long startUnixMillis = System.currentTimeMillis();
         shares = new FleetShares(startUnixMillis, settings.connectionFloor(), now);
         membership = new Membership(state.configuration(), startUnixMillis << 16);
-        rates = new RateOwners(state.configuration(), startUnixMillis << 16, now);
+        rates =
+                new RateOwners(
+                        state.configuration(), startUnixMillis << 16, now, settings.warmup());
         evacuations.reset();
         lastSeenVersion = state.configuration().version();
         loadEndpoints(now);
@@ -165,10 +167,14 @@
             membership.updateCold(List.of());
             membership.onConfigurationChange();
             evacuations.update(List.of());
+            membership.updateCold();
         } else {
             inForceTracker.track(entries);
             membership.updateCold(entries);
             evacuations.update(entries);
+            if (entries.stream().anyMatch(FleetService::mayChangeCold)) {
+                membership.updateCold();
+            }
             if (entries.stream().anyMatch(FleetService::changesPrimary)) {
                 membership.onConfigurationChange();
             }
@@ -180,6 +186,11 @@
         return entry.getChangesList().stream().anyMatch(Change::hasGroupState);
     }
 
+    private static boolean mayChangeCold(LogEntry entry) {
+        return entry.getChangesList().stream()
+                .anyMatch(change -> change.hasEndpointPut() || change.hasEvacuationRemoved());
+    }
+
     private void tick() {
         long now = EventLoop.nowNanos();
         if (inForceTracker.hasPending()) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -35,6 +35,7 @@
     private final EndpointAvailability availability = new EndpointAvailability(configuration);
     private final LeaseHolder lease;
     private final Map<String, List<EndpointMember>> endpointsByGroup = new HashMap<>();
+    private final Set<String> coldEndpoints = new HashSet<>();
     private final Map<String, ProxyMember> proxies = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private final Set<GroupId> fencing = new HashSet<>();
@@ -123,10 +124,14 @@
         membersVersion = answer.getMembersVersion();
         availability.setMembers(answer.getEndpointsList());
         endpointsByGroup.clear();
+        coldEndpoints.clear();
         for (EndpointMember member : answer.getEndpointsList()) {
             endpointsByGroup
                     .computeIfAbsent(member.getGroupId(), key -> new ArrayList<>())
                     .add(member);
+            if (member.getCold()) {
+                coldEndpoints.add(coldKey(member.getGroupId(), member.getEndpointId()));
+            }
         }
         proxies.clear();
         answer.getProxiesList().forEach(proxy -> proxies.put(proxy.getProxyId(), proxy));
@@ -230,6 +235,55 @@
         return endpointsByGroup.getOrDefault(group.toString(), List.of());
     }
 
+    /**
+     * Tells whether an endpoint may receive only its database's warm-up rate.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return true while control names it as cold
+     */
+    public boolean isCold(GroupId group, EndpointId endpoint) {
+        return !coldEndpoints.isEmpty()
+                && coldEndpoints.contains(coldKey(group.toString(), endpoint.value()));
+    }
+
+    /**
+     * Returns the incarnation of an endpoint.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return the incarnation in the list of members; 0 when it is not in it
+     */
+    public long incarnation(GroupId group, EndpointId endpoint) {
+        for (EndpointMember member : members(group)) {
+            if (member.getEndpointId().equals(endpoint.value())) {
+                return member.getIncarnation();
+            }
+        }
+        return 0;
+    }
+
+    private static String coldKey(String group, String endpoint) {
+        return group + "/" + endpoint;
+    }
+
+    /**
+     * Finds the region of a data centre by the endpoints in it.
+     *
+     * @param dataCenter the data centre
+     * @return its region; empty when no endpoint is announced there
+     */
+    public String regionOfDataCenter(String dataCenter) {
+        for (List<EndpointMember> members : endpointsByGroup.values()) {
+            for (EndpointMember member : members) {
+                if (member.getDataCenter().equals(dataCenter)) {
+                    return member.getRegion();
+                }
+            }
+        }
+        return "";
+    }
+
     /**
      * Returns how many proxies share what counts over the fleet, such as rates.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -1,5 +1,6 @@
 package org.chivevale.proxy.internal.session;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -25,7 +26,8 @@
  * <p>Invariants: a statement that may have run and can change data is sent only once; a reply of
  * the primary counts only while this proxy holds a lease and its configuration still names that
  * endpoint as primary in the same term; a statement that could not be sent before {@link
- * #RETRY_WINDOW_SHARE} of its timeout had passed fails as not run. Used on the event loop.
+ * #RETRY_WINDOW_SHARE} of its timeout had passed fails as not run; each statement sent to a cold
+ * endpoint has spent a warm-up token. Used on the event loop.
  */
 final class StatementExecution {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -44,6 +46,11 @@
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
 
+    /** Orders statements by the urgency of their route, then by age. */
+    static final Comparator<StatementExecution> BY_URGENCY =
+            Comparator.<StatementExecution>comparingInt(each -> each.context.route().priority())
+                    .thenComparingLong(each -> each.startedAtNanos);
+
     /**
      * A statement to execute.
      *
@@ -119,6 +126,7 @@
     private boolean isTimedOut;
     private boolean isFinished;
     private boolean isRerouting;
+    private boolean isAwaitingToken;
     private long sentAtNanos;
     private int attempts;
     private String lastDetail = "";
@@ -185,8 +193,20 @@
         }
         placement =
                 engine.selectPlacement(
-                        context.route(), operation.primaryOnly(), context.lastCommit(), excluded);
+                        context.route(),
+                        context.account(),
+                        operation.primaryOnly(),
+                        context.lastCommit(),
+                        excluded,
+                        this);
         if (placement == null) {
+            String exclusion =
+                    engine.findRegionExclusion(
+                            context.route(), context.account(), operation.primaryOnly());
+            if (exclusion != null) {
+                fail(SessionError.BUSY, exclusion);
+                return;
+            }
             String rejection = engine.rejection(context.route());
             if (rejection != null) {
                 fail(SessionError.BUSY, rejection);
@@ -255,6 +275,9 @@
             fail(SessionError.ABORTED, reason);
             return;
         }
+        if (isHeldBack()) {
+            return;
+        }
         attempts++;
         connection.applySettings(context.settings());
         Statement statement = operation.statement();
@@ -274,8 +297,64 @@
                         operation.id(), statement, requiredPosition, reply -> onReply(used, reply));
     }
 
+    /**
+     * Returns true when the statement has to wait for a warm-up token. It is spent once the
+     * connection is open, so that the statement leaves at once; a failed connection needs none.
+     */
+    private boolean isHeldBack() {
+        PooledConnection used = connection;
+        isAwaitingToken = false;
+        if (!used.connection().usable() || !engine.needsToken(placement)) {
+            return false;
+        }
+        if (!used.connection().isOpen()) {
+            used.connection().whenOpen(() -> sendOnceOpen(used));
+            return true;
+        }
+        engine.recordOpen(used);
+        boolean admitted = engine.tryAdmit(placement, this);
+        if (!admitted) {
+            awaitToken();
+        }
+        return !admitted;
+    }
+
+    private void sendOnceOpen(PooledConnection opened) {
+        if (!isFinished && !isInFlight && connection == opened) {
+            send();
+        }
+    }
+
+    /** Waits for a warm-up token; unless a transaction is open, another endpoint may serve. */
+    private void awaitToken() {
+        lastDetail = "the endpoint is cold";
+        isAwaitingToken = isPinned;
+        if (!isPinned) {
+            releaseConnection(true);
+            placement = null;
+            needsPlacement = true;
+            engine.runAfter(RETRY_DELAY_MILLIS, this::retryPlacement);
+        }
+    }
+
+    /** Returns true while the statement waits for an endpoint that may run it. */
+    boolean isWaitingForEndpoint() {
+        boolean isUnplaced = needsPlacement && connection == null && waiter == null;
+        return !isFinished && (isUnplaced || isAwaitingToken);
+    }
+
+    /** Looks again for an endpoint, or sends the statement of an open transaction. */
+    void resume() {
+        if (!isFinished && isAwaitingToken) {
+            send();
+        } else {
+            retryPlacement();
+        }
+    }
+
     private void onReply(PooledConnection used, EndpointReply reply) {
         used.pool().health().recordEnded();
+        engine.recordAttempt(used, reply);
         if (isFinished) {
             return;
         }
@@ -400,8 +479,8 @@
                         SessionError.BUSY,
                         lastDetail.isEmpty() ? "no connection in time" : lastDetail);
             }
-        } else if (needsPlacement) {
-            retryPlacement();
+        } else if (isWaitingForEndpoint()) {
+            resume();
         } else if (waiter != null && !operation.primaryOnly()) {
             moveToFreeEndpoint();
         }
@@ -413,7 +492,13 @@
      */
     private void moveToFreeEndpoint() {
         Placement best =
-                engine.selectPlacement(context.route(), false, context.lastCommit(), excluded);
+                engine.selectPlacement(
+                        context.route(),
+                        context.account(),
+                        false,
+                        context.lastCommit(),
+                        excluded,
+                        this);
         boolean isElsewhere = best != null && best.pool() != placement.pool();
         if (isElsewhere && best.pool().hasFreeConnection()) {
             placement.pool().cancel(waiter);
