--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
@@ -21,6 +21,8 @@
  * @param leaseMillis duration of the proxies' leases
  * @param clockDriftPartsPerMillion maximum drift between the clocks of two VMs
  * @param connectionFloor minimum number of connections that each proxy gets to each instance
+ * @param sharedBelow an endpoint gets connection hosts when its connection limit is below this many
+ *     times the number of proxies; 0 for none
  * @param snapshotEvery number of log entries after which a snapshot is written
  * @param replication settings of the replicated log; null for a deployment with one process
  */
@@ -36,6 +38,7 @@
         int leaseMillis,
         int clockDriftPartsPerMillion,
         int connectionFloor,
+        double sharedBelow,
         int snapshotEvery,
         Replication replication) {
     /**
@@ -60,6 +63,7 @@
     private static final int MAX_VOTERS = 9;
     private static final int MAX_LEASE_MILLIS = 30_000;
     private static final int MAX_DRIFT_PPM = 100_000;
+    private static final double MAX_SHARED_BELOW = 1000;
 
     /**
      * Reads a settings file and rejects unknown settings.
@@ -94,6 +98,7 @@
                 in.number("lease_ms", DEFAULT_LEASE_MILLIS, 200, MAX_LEASE_MILLIS),
                 in.number("clock_drift_ppm", DEFAULT_DRIFT_PPM, 0, MAX_DRIFT_PPM),
                 in.number("connection_floor", DEFAULT_CONNECTION_FLOOR, 0, 1000),
+                in.decimal("connections.shared_below", 0, 0, MAX_SHARED_BELOW),
                 in.number("snapshot_every", DEFAULT_SNAPSHOT_EVERY, 1, 1_000_000),
                 replication(in));
     }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -130,7 +130,9 @@
                         now);
         failureDetectors.clear();
         long startUnixMillis = System.currentTimeMillis();
-        shares = new FleetShares(startUnixMillis, settings.connectionFloor(), now);
+        shares =
+                new FleetShares(
+                        startUnixMillis, settings.connectionFloor(), settings.sharedBelow(), now);
         membership = new Membership(state.configuration(), startUnixMillis << 16);
         rates = new RateOwners(state.configuration(), startUnixMillis << 16, now);
         lastSeenVersion = state.configuration().version();
@@ -348,6 +350,7 @@
                         .addAllControlAddresses(log.memberAddresses())
                         .setSharesEpoch(shares.epochFor(request))
                         .addAllConnectionShares(shares.renew(request, membership, now));
+        shares.addHosts(request, answer);
         addConfiguration(answer, request.getConfigVersion());
         addMembers(answer, request);
         return answer.build();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
@@ -11,6 +11,8 @@
 import org.chivevale.core.group.GroupId;
 import org.chivevale.wire.proto.ConnectionDemand;
 import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.ConnectionUse;
+import org.chivevale.wire.proto.RenewAnswer;
 import org.chivevale.wire.proto.RenewRequest;
 
 /**
@@ -19,7 +21,8 @@
  * <p>A proxy lists all its demands to a new leader, and differences afterwards; the answer has the
  * shares that were reported and those that have changed. Invariant: differences count only when
  * they refer to this object's epoch and the proxy's other demands are known, so a share is never
- * granted to a second proxy while the first may use it. Used on the event loop.
+ * granted to a second proxy while the first may use it. Of an endpoint with connection hosts, only
+ * these get shares. Used on the event loop.
  */
 final class FleetShares {
     /** Connections of an endpoint that control itself may use. */
@@ -30,6 +33,7 @@
 
     private final Map<String, ConnectionShares> byInstance = new HashMap<>();
     private final Set<String> proxies = new HashSet<>();
+    private final HostAssignments hosts;
     private final long epoch;
     private final int floor;
     private final long sinceNanos;
@@ -40,11 +44,14 @@
      *
      * @param epoch identifies the leader; not 0
      * @param floor minimum share of each proxy, as long as the limit allows
+     * @param sharedBelow an endpoint has hosts when its connection limit is below this many times
+     *     the number of proxies; 0 for none
      * @param nowNanos the monotonic time at which this process began to lead
      */
-    FleetShares(long epoch, int floor, long nowNanos) {
+    FleetShares(long epoch, int floor, double sharedBelow, long nowNanos) {
         this.epoch = epoch;
         this.floor = floor;
+        this.hosts = new HostAssignments(sharedBelow);
         this.sinceNanos = nowNanos;
     }
 
@@ -76,7 +83,11 @@
             return List.of();
         }
         proxies.add(request.getProxyId());
+        hosts.setDraining(request.getProxyId(), request.getDraining());
         settleWhenDue(nowNanos);
+        if (!isSettling) {
+            hosts.update(membership, nowNanos);
+        }
         List<ConnectionShare> answer = new ArrayList<>();
         Set<String> reported = new HashSet<>();
         for (ConnectionDemand demand : request.getConnectionDemandsList()) {
@@ -87,13 +98,7 @@
             if (instance != null) {
                 String key = key(demand.getGroupId(), demand.getEndpointId());
                 reported.add(key);
-                int granted =
-                        shares(key, instance)
-                                .report(
-                                        request.getProxyId(),
-                                        demand.getWanted(),
-                                        demand.getLimitInForce());
-                answer.add(share(key, granted));
+                answer.add(share(key, report(request.getProxyId(), demand, key, instance)));
             }
         }
         if (request.getSharesEpoch() != 0) {
@@ -102,6 +107,35 @@
         return answer;
     }
 
+    private int report(
+            String proxy, ConnectionDemand demand, String key, InstanceAnnouncement instance) {
+        ConnectionShares shares = shares(key, instance);
+        if (demand.getUse() == ConnectionUse.HOSTED) {
+            hosts.adopt(key, proxy);
+        }
+        boolean mayConnect =
+                hosts.isDecided()
+                        ? hosts.mayConnect(key, proxy)
+                        : demand.getUse() != ConnectionUse.RELAYED;
+        if (!mayConnect) {
+            shares.reportWithout(proxy, demand.getLimitInForce());
+            return 0;
+        }
+        return shares.report(proxy, demand.getWanted(), demand.getLimitInForce());
+    }
+
+    /**
+     * Adds the connection hosts that a proxy does not know yet to the answer to its renewal.
+     *
+     * @param request the renewal, for which the shares were updated before
+     * @param answer the answer to it
+     */
+    void addHosts(RenewRequest request, RenewAnswer.Builder answer) {
+        if (isUsable(request)) {
+            hosts.addTo(answer, request.getProxyId(), request.getSharesEpoch() == 0);
+        }
+    }
+
     private void settleWhenDue(long nowNanos) {
         if (isSettling && nowNanos - sinceNanos >= SETTLING_NANOS) {
             isSettling = false;
@@ -124,12 +158,22 @@
     private void addChanged(String proxy, Set<String> reported, List<ConnectionShare> answer) {
         byInstance.forEach(
                 (key, shares) -> {
-                    if (!reported.contains(key) && shares.refresh(proxy)) {
+                    boolean isHeldByOthers = hosts.isDecided() && !hosts.mayConnect(key, proxy);
+                    boolean isChanged =
+                            !reported.contains(key)
+                                    && (isHeldByOthers
+                                            ? shares.withdraw(proxy)
+                                            : shares.refresh(proxy));
+                    if (isChanged) {
                         answer.add(share(key, shares.granted(proxy)));
                     }
                 });
     }
 
+    static String key(InstanceAnnouncement instance) {
+        return key(instance.group().toString(), instance.endpoint().value());
+    }
+
     private static String key(String groupId, String endpointId) {
         return groupId + "/" + endpointId;
     }
@@ -146,6 +190,7 @@
     /** Frees the shares of a proxy that has left or lost its lease. */
     void remove(String proxy) {
         proxies.remove(proxy);
+        hosts.remove(proxy);
         byInstance.values().forEach(shares -> shares.remove(proxy));
     }
 }
--- /dev/null
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
@@ -0,0 +1,221 @@
+package org.chivevale.control.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chivevale.core.admission.ConnectionHosts;
+import org.chivevale.process.DecisionLog;
+import org.chivevale.wire.proto.ConnectionHost;
+import org.chivevale.wire.proto.EndpointHosts;
+import org.chivevale.wire.proto.RenewAnswer;
+import org.jboss.logging.Logger;
+
+/**
+ * The connection hosts of all endpoints, as this leader has chosen them.
+ *
+ * <p>A new leader keeps the hosts that report themselves and chooses none before all proxies have
+ * reported. Invariant: the hosts change only with the set of proxies, the endpoints or their
+ * limits, and move to nearer proxies one at a time. Used on the event loop.
+ */
+final class HostAssignments {
+    private static final Logger LOG = Logger.getLogger(HostAssignments.class);
+    private static final int MAX_LOG_LINES_PER_SECOND = 50;
+    private static final long COMPUTE_INTERVAL_NANOS = 250_000_000L;
+    private static final long MOVE_INTERVAL_NANOS = 1_000_000_000L;
+
+    private final DecisionLog decisions = new DecisionLog(LOG, MAX_LOG_LINES_PER_SECOND);
+    private final double sharedBelow;
+    private final Map<String, Assignment> assignments = new HashMap<>();
+    private final Map<String, Long> sentVersions = new HashMap<>();
+    private final Set<String> draining = new HashSet<>();
+    private long version = 1;
+    private long seenMembersVersion = -1;
+    private boolean isDirty;
+    private long computeAfterNanos;
+    private boolean isDecided;
+    private long lastMoveNanos;
+
+    /** The hosts of one endpoint and the version at which they last changed. */
+    private static final class Assignment {
+        final Set<String> hosts = new LinkedHashSet<>();
+        EndpointHosts message = EndpointHosts.getDefaultInstance();
+        long changedAt;
+    }
+
+    /**
+     * Creates the assignments of a new leader.
+     *
+     * @param sharedBelow the bound of {@link ConnectionHosts#isShared}
+     */
+    HostAssignments(double sharedBelow) {
+        this.sharedBelow = sharedBelow;
+    }
+
+    /** Keeps a host that an earlier leader has chosen; ignored once this one has decided. */
+    void adopt(String key, String proxy) {
+        if (sharedBelow > 0 && !isDecided) {
+            assignments.computeIfAbsent(key, ignored -> new Assignment()).hosts.add(proxy);
+        }
+    }
+
+    void setDraining(String proxy, boolean isDraining) {
+        isDirty |= isDraining ? draining.add(proxy) : draining.remove(proxy);
+    }
+
+    /** Removes a proxy that has left or lost its lease. */
+    void remove(String proxy) {
+        sentVersions.remove(proxy);
+        draining.remove(proxy);
+        isDirty = true;
+    }
+
+    /**
+     * Chooses hosts again when the proxies or the endpoints have changed; at most every {@link
+     * #COMPUTE_INTERVAL_NANOS}, since proxies of a starting fleet appear one by one.
+     */
+    void update(Membership membership, long nowNanos) {
+        boolean isFirst = !isDecided;
+        isDecided = true;
+        boolean isChanged = isDirty || membership.version() != seenMembersVersion;
+        boolean isDue = isFirst || isChanged && nowNanos - computeAfterNanos >= 0;
+        if (sharedBelow <= 0 || !isDue) {
+            return;
+        }
+        seenMembersVersion = membership.version();
+        computeAfterNanos = nowNanos + COMPUTE_INTERVAL_NANOS;
+        boolean mayMove = !isFirst && nowNanos - lastMoveNanos >= MOVE_INTERVAL_NANOS;
+        isDirty = !mayMove;
+        if (mayMove) {
+            lastMoveNanos = nowNanos;
+        }
+        Map<String, ProxyMemberState> byId = new HashMap<>();
+        membership.proxies().forEach(each -> byId.put(each.id(), each));
+        List<ConnectionHosts.Candidate> candidates = candidates(byId.values());
+        Set<String> known = new HashSet<>();
+        for (List<InstanceAnnouncement> instances : membership.instancesByGroup().values()) {
+            for (InstanceAnnouncement instance : instances) {
+                String key = FleetShares.key(instance);
+                known.add(key);
+                Assignment assignment =
+                        assignments.computeIfAbsent(key, ignored -> new Assignment());
+                List<String> chosen =
+                        choose(key, instance, assignment, candidates, byId.size(), mayMove);
+                isDirty |= replace(key, assignment, chosen, byId, nowNanos);
+            }
+        }
+        assignments.forEach(
+                (key, assignment) -> {
+                    if (!known.contains(key)) {
+                        replace(key, assignment, List.of(), byId, nowNanos);
+                    }
+                });
+    }
+
+    private List<ConnectionHosts.Candidate> candidates(Collection<ProxyMemberState> proxies) {
+        List<ConnectionHosts.Candidate> candidates = new ArrayList<>();
+        for (ProxyMemberState proxy : proxies) {
+            if (proxy.forwardAddress().port() != 0 && !draining.contains(proxy.id())) {
+                candidates.add(
+                        new ConnectionHosts.Candidate(
+                                proxy.id(), proxy.dataCenter(), proxy.region()));
+            }
+        }
+        return candidates;
+    }
+
+    private List<String> choose(
+            String key,
+            InstanceAnnouncement instance,
+            Assignment assignment,
+            List<ConnectionHosts.Candidate> candidates,
+            int proxies,
+            boolean mayMove) {
+        int limit = instance.connectionLimit();
+        boolean hasHosts = !assignment.hosts.isEmpty();
+        return ConnectionHosts.isShared(limit, sharedBelow, proxies, hasHosts)
+                ? ConnectionHosts.choose(
+                        new ConnectionHosts.Endpoint(
+                                key, instance.dataCenter(), instance.region(), limit),
+                        candidates,
+                        assignment.hosts,
+                        mayMove)
+                : List.of();
+    }
+
+    /** Sets an endpoint's hosts; a host that has restarted counts as changed. */
+    private boolean replace(
+            String key,
+            Assignment assignment,
+            List<String> chosen,
+            Map<String, ProxyMemberState> proxies,
+            long nowNanos) {
+        EndpointHosts message = message(key, chosen, proxies);
+        if (message.getHostsList().equals(assignment.message.getHostsList())) {
+            return false;
+        }
+        decisions.log(
+                nowNanos, "connection hosts of %s: %s, were %s", key, chosen, assignment.hosts);
+        assignment.hosts.clear();
+        assignment.hosts.addAll(chosen);
+        assignment.message = message;
+        version++;
+        assignment.changedAt = version;
+        return true;
+    }
+
+    boolean isDecided() {
+        return isDecided;
+    }
+
+    /** Tells whether a proxy may have connections to an endpoint, once hosts are decided. */
+    boolean mayConnect(String key, String proxy) {
+        Assignment assignment = assignments.get(key);
+        return assignment == null || assignment.hosts.isEmpty() || assignment.hosts.contains(proxy);
+    }
+
+    /**
+     * Adds the hosts that a proxy does not know yet to the answer to its renewal.
+     *
+     * @param proxy the proxy that renews
+     * @param all true when it needs all of them
+     */
+    void addTo(RenewAnswer.Builder answer, String proxy, boolean all) {
+        if (!isDecided) {
+            return;
+        }
+        Long known = all ? null : sentVersions.get(proxy);
+        sentVersions.put(proxy, version);
+        answer.setHostsWhole(known == null);
+        for (Assignment assignment : assignments.values()) {
+            boolean isNew =
+                    known == null ? !assignment.hosts.isEmpty() : assignment.changedAt > known;
+            if (isNew) {
+                answer.addEndpointHosts(assignment.message);
+            }
+        }
+    }
+
+    private static EndpointHosts message(
+            String key, Collection<String> hosts, Map<String, ProxyMemberState> proxies) {
+        int slash = key.lastIndexOf('/');
+        EndpointHosts.Builder message =
+                EndpointHosts.newBuilder()
+                        .setGroupId(key.substring(0, slash))
+                        .setEndpointId(key.substring(slash + 1));
+        for (String id : hosts) {
+            ProxyMemberState proxy = proxies.get(id);
+            message.addHosts(
+                    ConnectionHost.newBuilder()
+                            .setProxyId(id)
+                            .setIncarnation(proxy.incarnation())
+                            .setHost(proxy.forwardAddress().host())
+                            .setPort(proxy.forwardAddress().port()));
+        }
+        return message.build();
+    }
+}
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/ConnectionShares.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/ConnectionShares.java
@@ -76,6 +76,48 @@
         return share.granted;
     }
 
+    /**
+     * Records the acknowledgement of a proxy that gets no share, since others hold the connections.
+     *
+     * @param proxy the reporting proxy
+     * @param inForce the share that it currently observes
+     */
+    public void reportWithout(String proxy, int inForce) {
+        Share share = shares.get(proxy);
+        if (share == null && inForce == 0) {
+            return;
+        }
+        if (share == null) {
+            share = new Share();
+            shares.put(proxy, share);
+        }
+        share.wanted = 0;
+        share.inForce = inForce;
+        share.mayUse = inForce <= share.granted ? share.granted : Math.max(share.mayUse, inForce);
+        share.granted = 0;
+        if (share.mayUse == 0) {
+            shares.remove(proxy);
+        }
+    }
+
+    /**
+     * Withdraws the share of a proxy that has not reported since others hold the connections; what
+     * it may use stays committed until it reports.
+     *
+     * @param proxy the proxy
+     * @return true when it had a share
+     */
+    public boolean withdraw(String proxy) {
+        Share share = shares.get(proxy);
+        if (share == null || share.granted == 0) {
+            return false;
+        }
+        share.wanted = 0;
+        share.mayUse = Math.max(share.mayUse, share.granted);
+        share.granted = 0;
+        return true;
+    }
+
     private void adjust(String proxy, Share share) {
         int kept = isSettling ? Math.min(share.wanted, share.inForce) : 0;
         int target = Math.max(kept, target(proxy));
--- a/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
@@ -114,6 +114,29 @@
         return fallback;
     }
 
+    /**
+     * Reads a number with a default.
+     *
+     * @param key dotted key
+     * @param fallback default when the key is missing
+     * @param min smallest accepted value
+     * @param max largest accepted value
+     * @return the number
+     */
+    public double decimal(String key, double fallback, double min, double max) {
+        Object value = value(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Number given
+                && given.doubleValue() >= min
+                && given.doubleValue() <= max) {
+            return given.doubleValue();
+        }
+        reject(key, value, "a number from " + min + " to " + max);
+        return fallback;
+    }
+
     /**
      * Reads a boolean with a default.
      *
@@ -153,6 +176,17 @@
         }
     }
 
+    /**
+     * Reads an address with a default.
+     *
+     * @param key dotted key
+     * @param fallback default when the key is missing
+     * @return the address
+     */
+    public HostPort address(String key, HostPort fallback) {
+        return value(key) == null ? fallback : address(key);
+    }
+
     /**
      * Reads a list of addresses.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
@@ -14,7 +14,7 @@
  * @param region the region that it runs in
  * @param dataCenter the data centre that it runs in
  * @param listen the address on which callers connect
- * @param forwardListen the address on which other proxies connect
+ * @param forwardListen the address on which other proxies connect; port 0 for none
  * @param control the addresses of the control processes
  * @param databasePassword password of the login role at endpoints
  * @param timing timeouts and intervals
@@ -130,7 +130,7 @@
                 in.text("region", "a name"),
                 in.text("data_center", "a name"),
                 http ? in.address("listen") : NO_ADDRESS,
-                http ? in.address("forward_listen") : NO_ADDRESS,
+                http ? in.address("forward_listen") : in.address("forward_listen", NO_ADDRESS),
                 onPort(control, in.number("control_port", 0, 0, MAX_PORT)),
                 http ? in.text("database_password", "a text") : "",
                 timing(in),
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetSharesProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetSharesProperties.java
@@ -119,7 +119,7 @@
     @Property(seed = "20261204", tries = 500)
     void theSharesOfProxiesWithALeaseNeverExceedTheLimit(@ForAll long seed) {
         Random random = new Random(seed);
-        FleetShares shares = new FleetShares(7, 1, 0);
+        FleetShares shares = new FleetShares(7, 1, 0, 0);
         List<Proxy> proxies = proxies();
         long now = 0;
         for (int step = 0; step < 200; step++) {
@@ -146,11 +146,11 @@
     void aProxyGetsItsShareFromEachNewLeaderAndAfterALostLease(@ForAll long seed) {
         Random random = new Random(seed);
         List<Proxy> proxies = proxies();
-        FleetShares shares = new FleetShares(7, 1, 0);
+        FleetShares shares = new FleetShares(7, 1, 0, 0);
         long now = 0;
         for (int round = 0; round < 12; round++) {
             if (round % 4 == 1) {
-                shares = new FleetShares(8 + round, 1, now);
+                shares = new FleetShares(8 + round, 1, 0, now);
             } else if (round % 4 == 3) {
                 shares.remove(proxies.get(0).id);
             }
@@ -176,7 +176,7 @@
      */
     @Example
     void eachProxyOfARestartedFleetIsServedWithItsFirstRenewal() {
-        FleetShares shares = new FleetShares(7, 1, 0);
+        FleetShares shares = new FleetShares(7, 1, 0, 0);
         int sum = 0;
         for (Proxy proxy : proxies()) {
             proxy.demand[0] = 20;
@@ -194,7 +194,7 @@
     @Property(seed = "20261204", tries = 20)
     void rareRequestsOfManyProxiesAllGetAConnection(@ForAll long seed) {
         Random random = new Random(seed);
-        FleetShares shares = new FleetShares(7, 1, -10 * RENEWAL_NANOS);
+        FleetShares shares = new FleetShares(7, 1, 0, -10 * RENEWAL_NANOS);
         List<Proxy> proxies = new ArrayList<>();
         long[] waitingSince = new long[8 * LIMIT / 7];
         long[] nextRenewal = new long[waitingSince.length];
@@ -241,7 +241,7 @@
 
     @Example
     void nothingIsSentWhileNoDemandChanges() {
-        FleetShares shares = new FleetShares(7, 1, 0);
+        FleetShares shares = new FleetShares(7, 1, 0, 0);
         Proxy proxy = new Proxy(0);
         for (int i = 0; i < 5; i++) {
             renew(shares, proxy, i * RENEWAL_NANOS, false);
