--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
@@ -214,7 +214,8 @@
                             .setProxyId(id)
                             .setIncarnation(proxy.incarnation())
                             .setHost(proxy.forwardAddress().host())
-                            .setPort(proxy.forwardAddress().port()));
+                            .setPort(proxy.forwardAddress().port())
+                            .setRegion(proxy.region()));
         }
         return message.build();
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
@@ -11,6 +11,7 @@
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.MemberScope;
 import org.chivevale.proxy.internal.rate.RateLimiter;
+import org.chivevale.proxy.internal.session.RelayService;
 import org.chivevale.proxy.internal.session.SessionPools;
 import org.chivevale.proxy.session.SessionService;
 
@@ -36,7 +37,7 @@
             Function<EventLoop, SessionConnector> connectors) {
         Directory directory = new Directory(settings);
         ControlLink link = new ControlLink(settings, directory, MemberScope.ENDPOINTS);
-        SessionPools pools = new SessionPools(directory, connectors);
+        SessionPools pools = new SessionPools(settings, directory, connectors);
         return new Kernel()
                 .register(EventLoop.NAME, new EventLoop())
                 .register(Metrics.NAME, new Metrics())
@@ -47,12 +48,16 @@
                                 settingsFile,
                                 changed -> link.setSeeds(ProxySettings.read(changed).control())),
                         ControlLink.NAME)
-                .register(SessionPools.NAME, pools, ControlLink.NAME)
+                .register(SessionPools.NAME, pools, ControlLink.NAME, Metrics.NAME)
                 .register(RateLimiter.NAME, new RateLimiter(settings, directory), ControlLink.NAME)
                 .register(
                         SessionService.NAME,
                         new SessionService(settings, directory, pools),
                         SessionPools.NAME,
-                        RateLimiter.NAME);
+                        RateLimiter.NAME)
+                .register(
+                        RelayService.NAME,
+                        new RelayService(settings, directory, pools),
+                        SessionService.NAME);
     }
 }
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
@@ -0,0 +1,217 @@
+package org.chivevale.proxy.internal.relay;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.wire.proto.Frame;
+import org.chivevale.wire.proto.RelayRequest;
+import org.jboss.logging.Logger;
+
+/**
+ * The link of this proxy to one connection host.
+ *
+ * <p>Invariants: each request gets one outcome; it is reported as not sent only if no byte of it
+ * was passed to the link. A request is written once: when the link closes it is not sent again.
+ * Used on the event loop.
+ */
+final class RelayLink {
+    private static final Logger LOG = Logger.getLogger(RelayLink.class);
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** How long a host is avoided that closed its link, cannot be reached or stays silent. */
+    private static final long AVOID_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    /** A host that sends no frame for this long while a statement exceeds its limits is silent. */
+    private static final long SILENCE_NANOS = 400 * NANOS_PER_MILLI;
+
+    private static final int MAX_PENDING = 400;
+
+    private final HostPort address;
+    private final RelayTransport transport;
+    private final LongSupplier clock;
+    private final Map<Long, Pending> pending = new LinkedHashMap<>();
+    private RelayTransport.Channel channel;
+    private boolean isConnecting;
+    private boolean isShutDown;
+    private long generation;
+    private long lastFrameNanos;
+    private long avoidUntilNanos;
+
+    private static final class Pending {
+        final RelayRequest request;
+        final Consumer<RelayOutcome> done;
+        boolean isWritten;
+        long writtenAtNanos;
+
+        Pending(RelayRequest request, Consumer<RelayOutcome> done) {
+            this.request = request;
+            this.done = done;
+        }
+    }
+
+    RelayLink(HostPort address, RelayTransport transport, LongSupplier clock) {
+        this.address = address;
+        this.transport = transport;
+        this.clock = clock;
+        lastFrameNanos = clock.getAsLong();
+        avoidUntilNanos = lastFrameNanos;
+    }
+
+    boolean isUsable() {
+        return clock.getAsLong() - avoidUntilNanos >= 0 && pending.size() < MAX_PENDING;
+    }
+
+    /** Returns a number that changes whenever the link is opened; 0 while it is closed. */
+    long generation() {
+        return channel != null && channel.isOpen() ? generation : 0;
+    }
+
+    int pendingCount() {
+        return pending.size();
+    }
+
+    void send(long correlationId, RelayRequest request, Consumer<RelayOutcome> done) {
+        if (channel != null && !channel.isOpen()) {
+            onClosed(generation);
+        }
+        Pending added = new Pending(request, done);
+        pending.put(correlationId, added);
+        if (channel != null) {
+            write(correlationId, added);
+        } else if (!isConnecting) {
+            connect();
+        }
+    }
+
+    private void write(long correlationId, Pending added) {
+        added.isWritten = true;
+        added.writtenAtNanos = clock.getAsLong();
+        channel.send(
+                Frame.newBuilder()
+                        .setCorrelationId(correlationId)
+                        .setRelayRequest(added.request)
+                        .build());
+    }
+
+    private void connect() {
+        isConnecting = true;
+        generation++;
+        long opening = generation;
+        transport.connect(
+                address,
+                this::onFrame,
+                () -> onClosed(opening),
+                opened -> onConnected(opening, opened));
+    }
+
+    private void onConnected(long opening, RelayTransport.Channel opened) {
+        isConnecting = false;
+        if (opened == null) {
+            LOG.warnf("cannot connect to connection host %s", address);
+            avoid();
+            failAll();
+            return;
+        }
+        if (isShutDown || !opened.isOpen()) {
+            opened.close();
+            avoid();
+            failAll();
+            return;
+        }
+        channel = opened;
+        lastFrameNanos = clock.getAsLong();
+        new LinkedHashMap<>(pending)
+                .forEach(
+                        (correlationId, waiting) -> {
+                            if (!waiting.isWritten) {
+                                write(correlationId, waiting);
+                            }
+                        });
+    }
+
+    private void onClosed(long closed) {
+        if (closed != generation || channel == null) {
+            return;
+        }
+        LOG.infof("the link to connection host %s has closed", address);
+        channel = null;
+        avoid();
+        failAll();
+    }
+
+    private void failAll() {
+        List<Pending> failed = new ArrayList<>(pending.values());
+        pending.clear();
+        failed.forEach(
+                each ->
+                        each.done.accept(
+                                each.isWritten ? RelayOutcome.LOST : RelayOutcome.NOT_SENT));
+    }
+
+    private void onFrame(Frame frame) {
+        lastFrameNanos = clock.getAsLong();
+        if (!frame.hasRelayAnswer()) {
+            return;
+        }
+        Pending answered = pending.remove(frame.getCorrelationId());
+        if (answered != null) {
+            answered.done.accept(RelayOutcome.answered(frame.getRelayAnswer()));
+        }
+    }
+
+    /**
+     * Gives up a request without an answer.
+     *
+     * @return what is known of it; null when it has its outcome already
+     */
+    RelayOutcome abandon(long correlationId, RelayRequest closing) {
+        Pending abandoned = pending.remove(correlationId);
+        if (abandoned == null) {
+            return null;
+        }
+        if (!abandoned.isWritten) {
+            return RelayOutcome.NOT_SENT;
+        }
+        if (silenceNanos(abandoned.writtenAtNanos) > SILENCE_NANOS) {
+            LOG.warnf("connection host %s is silent", address);
+            avoid();
+        }
+        close(closing);
+        return RelayOutcome.LOST;
+    }
+
+    /** Returns for how long no frame has arrived, counted from a time at the earliest. */
+    long silenceNanos(long sinceNanos) {
+        long now = clock.getAsLong();
+        return Math.min(now - sinceNanos, now - lastFrameNanos);
+    }
+
+    /** Tells the host that a transaction or a statement has ended; it answers nothing. */
+    void close(RelayRequest closing) {
+        if (channel != null && channel.isOpen()) {
+            channel.send(Frame.newBuilder().setRelayRequest(closing).build());
+        }
+    }
+
+    /** Avoids the host for some time. */
+    void avoid() {
+        avoidUntilNanos = clock.getAsLong() + AVOID_NANOS;
+    }
+
+    long avoidUntilNanos() {
+        return avoidUntilNanos;
+    }
+
+    /** Closes the link; requests that were written may have run. */
+    void shutDown() {
+        isShutDown = true;
+        if (channel != null) {
+            channel.close();
+        }
+        failAll();
+    }
+}
--- /dev/null
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Statements that run over the connections of another proxy. */
+package org.chivevale.proxy.internal.relay;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointHealth.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointHealth.java
@@ -72,6 +72,11 @@
         }
     }
 
+    /** Records that a connection host had no capacity, which says nothing about failures. */
+    void recordBusyHost(long nowNanos) {
+        avoidUntil(nowNanos + BUSY_AVOID_NANOS);
+    }
+
     void recordUnreachable(long nowNanos) {
         recordFailure(nowNanos);
         avoidUntil(nowNanos + UNREACHABLE_AVOID_NANOS);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.admission.DemandReport;
 import org.chivevale.core.group.TermPosition;
@@ -16,6 +17,7 @@
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.database.session.SessionConnector;
 import org.chivevale.process.EventLoop;
+import org.chivevale.proxy.internal.session.ConnectionMeters.Reason;
 
 /**
  * The connection pool of this proxy for one endpoint, with its queue of waiters.
@@ -23,7 +25,9 @@
  * <p>Invariants: no connection is opened above the leased share; a connection belongs to one client
  * account, so an idle one of another account is closed to make room; waiters are served in order,
  * but for {@link #OWN_ACCOUNT_PRIORITY_NANOS} a waiter whose account has an idle connection goes
- * first, since opening a new connection costs the endpoint a slot. Used on the event loop.
+ * first, since opening a new connection costs the endpoint a slot. While other proxies hold the
+ * endpoint's connections, requests get a relayed connection and none waits here. Used on the event
+ * loop.
  */
 final class EndpointPool {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -32,10 +36,17 @@
     private static final long RECONNECT_DELAY_NANOS = 50 * NANOS_PER_MILLI;
     private static final int MAX_WAITERS = 400;
 
+    /**
+     * Connections assumed behind the hosts of an endpoint, whose queue this proxy does not see; the
+     * measured response times include the wait there.
+     */
+    private static final int NOMINAL_RELAYED_CONNECTIONS = 16;
+
     private final MemberTarget target;
     private final SessionConnector connector;
     private final Runnable requestShare;
-    private final DemandReport demandReport = new DemandReport();
+    private final ConnectionMeters meters;
+    private DemandReport demandReport = new DemandReport();
     private final EndpointHealth health = new EndpointHealth(EventLoop.nowNanos());
     private final Set<PooledConnection> open = new HashSet<>();
     private final Deque<PooledConnection> idle = new ArrayDeque<>();
@@ -44,18 +55,28 @@
     private int share;
     private int peakDemand;
     private boolean isClosed;
+    private Function<PoolRequest, RelayedConnection> relay;
+    private int relayedInUse;
 
     /**
      * A queued request for a connection.
      *
-     * @param account the client account that the connection must belong to
+     * @param request the request
      * @param queuedAtNanos when it was queued, on the monotonic clock
      * @param callback receives the connection, or null when there will be none
      */
-    record Waiter(
-            ClientAccountId account, long queuedAtNanos, Consumer<PooledConnection> callback) {}
+    record Waiter(PoolRequest request, long queuedAtNanos, Consumer<PooledConnection> callback) {
+        ClientAccountId account() {
+            return request.account();
+        }
+    }
 
-    EndpointPool(MemberTarget target, SessionConnector connector, Runnable requestShare) {
+    EndpointPool(
+            MemberTarget target,
+            SessionConnector connector,
+            Runnable requestShare,
+            ConnectionMeters meters) {
+        this.meters = meters;
         this.target = target;
         this.connector = connector;
         this.requestShare = requestShare;
@@ -75,11 +96,15 @@
     }
 
     /** Requests a connection; the returned waiter can be cancelled until it is served. */
-    Waiter acquire(ClientAccountId account, Consumer<PooledConnection> callback) {
+    Waiter acquire(PoolRequest request, Consumer<PooledConnection> callback) {
         long now = EventLoop.nowNanos();
-        Waiter waiter = new Waiter(account, now, callback);
+        Waiter waiter = new Waiter(request, now, callback);
+        if (relay != null) {
+            callback.accept(isClosed || isFull() ? null : openRelayed(request));
+            return waiter;
+        }
         if (waiters.isEmpty()) {
-            PooledConnection connection = takeOrOpen(account);
+            PooledConnection connection = takeOrOpen(request.account());
             if (connection != null) {
                 recordDemand();
                 callback.accept(connection);
@@ -95,9 +120,39 @@
         return waiter;
     }
 
+    private PooledConnection openRelayed(PoolRequest request) {
+        relayedInUse++;
+        return PooledConnection.relayed(relay.apply(request), request.account(), this);
+    }
+
+    /**
+     * Sets whether other proxies hold the endpoint's connections; requests that wait move on.
+     *
+     * @param newRelay opens a relayed connection for a request; null for own connections
+     */
+    void relayThrough(Function<PoolRequest, RelayedConnection> newRelay) {
+        relay = newRelay;
+        if (relay == null) {
+            return;
+        }
+        List<Waiter> waiting = new ArrayList<>(waiters);
+        waiters.clear();
+        peakDemand = 0;
+        waiting.forEach(waiter -> waiter.callback().accept(openRelayed(waiter.request())));
+    }
+
+    boolean isRelayed() {
+        return relay != null;
+    }
+
+    /** Forgets what was reported, so that the next renewal reports this pool again. */
+    void resetDemandReport() {
+        demandReport = new DemandReport();
+    }
+
     /** Returns true when no further request may wait. */
     boolean isFull() {
-        return waiters.size() >= MAX_WAITERS;
+        return (relay == null ? waiters.size() : relayedInUse) >= MAX_WAITERS;
     }
 
     void cancel(Waiter waiter) {
@@ -120,9 +175,19 @@
         return inUse() + waiters.size();
     }
 
+    /** Returns how many requests of this proxy are at the endpoint or wait for it. */
+    int pendingRequests() {
+        return load() + relayedInUse;
+    }
+
+    /** Returns how many requests can run at a time; for a relayed endpoint, an estimate. */
+    int usableConnections() {
+        return relay == null ? share : NOMINAL_RELAYED_CONNECTIONS;
+    }
+
     /** Returns true when a new request would not have to wait for a connection. */
     boolean hasFreeConnection() {
-        return !isClosed && waiters.isEmpty() && inUse() < share;
+        return !isClosed && (relay != null || waiters.isEmpty() && inUse() < share);
     }
 
     /** Returns true when the queue is so long that a new waiter would exceed its maximum wait. */
@@ -142,6 +207,7 @@
             PooledConnection candidate = candidates.next();
             if (candidate.account().equals(account)) {
                 candidates.remove();
+                meters.recordReused();
                 return candidate;
             }
         }
@@ -150,7 +216,7 @@
             return null;
         }
         if (open.size() >= share && !idle.isEmpty()) {
-            closeConnection(idle.removeLast());
+            closeConnection(idle.removeLast(), Reason.OTHER_ACCOUNT);
         }
         return open.size() < share ? connect(account) : null;
     }
@@ -171,6 +237,7 @@
                                 }),
                         account,
                         this);
+        meters.recordOpened();
         if (!closedAtOnce[0]) {
             open.add(opened[0]);
         }
@@ -178,13 +245,17 @@
     }
 
     private void removeClosed(PooledConnection connection) {
-        open.remove(connection);
+        if (open.remove(connection)) {
+            meters.recordClosed(Reason.BY_ENDPOINT);
+        }
         idle.remove(connection);
         serveWaiters();
     }
 
-    private void closeConnection(PooledConnection connection) {
-        open.remove(connection);
+    private void closeConnection(PooledConnection connection, Reason reason) {
+        if (open.remove(connection)) {
+            meters.recordClosed(reason);
+        }
         connection.connection().close();
     }
 
@@ -214,8 +285,15 @@
 
     /** Returns a connection to the pool; {@code keep} is false when it must be closed. */
     void release(PooledConnection connection, boolean keep) {
-        if (!keep || !connection.isUsable() || open.size() > share || isClosed) {
-            closeConnection(connection);
+        if (connection.isRelayed()) {
+            relayedInUse--;
+            connection.connection().close();
+            return;
+        }
+        if (!keep || !connection.isUsable()) {
+            closeConnection(connection, Reason.FAILED);
+        } else if (open.size() > share || isClosed) {
+            closeConnection(connection, isClosed ? Reason.POOL_CLOSED : Reason.SHARE);
         } else {
             connection.setIdleSince(EventLoop.nowNanos());
             idle.addFirst(connection);
@@ -268,7 +346,7 @@
             }
         }
         idle.removeAll(old);
-        old.forEach(this::closeConnection);
+        old.forEach(connection -> closeConnection(connection, Reason.SUSPECT));
     }
 
     void tick() {
@@ -279,7 +357,7 @@
     void setShare(int newShare) {
         share = newShare;
         while (open.size() > share && !idle.isEmpty()) {
-            closeConnection(idle.removeLast());
+            closeConnection(idle.removeLast(), Reason.SHARE);
         }
         serveWaiters();
     }
@@ -295,7 +373,7 @@
     int takePeakDemand() {
         int demand = peakDemand;
         peakDemand = load();
-        return demand;
+        return relay == null ? demand : 0;
     }
 
     /** Closes the pool; connections in use are closed when they are released. */
@@ -303,7 +381,7 @@
         isClosed = true;
         List<PooledConnection> unused = new ArrayList<>(idle);
         idle.clear();
-        unused.forEach(this::closeConnection);
+        unused.forEach(connection -> closeConnection(connection, Reason.POOL_CLOSED));
         List<Waiter> waiting = new ArrayList<>(waiters);
         waiters.clear();
         waiting.forEach(waiter -> waiter.callback().accept(null));
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -112,11 +112,11 @@
         return new MemberView(
                 placement.isPrimary(),
                 distance(member),
-                pool.load(),
-                pool.share(),
+                pool.pendingRequests(),
+                pool.usableConnections(),
                 pool.health().responseMillis(),
                 fresh,
-                pool.share() == 0 || pool.health().isAvoided(nowNanos, SILENCE_NANOS));
+                pool.usableConnections() == 0 || pool.health().isAvoided(nowNanos, SILENCE_NANOS));
     }
 
     private int distance(EndpointMember member) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PooledConnection.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PooledConnection.java
@@ -4,11 +4,14 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement;
 import org.chivevale.core.interactive.Statement.Prepared;
+import org.chivevale.database.session.EndpointReply;
 import org.chivevale.database.session.SessionConnection;
+import org.chivevale.process.EventLoop;
 
 /**
  * A pooled connection with its account and its state: session settings and prepared statements.
@@ -18,6 +21,7 @@
  */
 final class PooledConnection {
     private final SessionConnection connection;
+    private final RelayedConnection relayed;
     private final ClientAccountId account;
     private final EndpointPool pool;
     private final Map<String, String> settings = new HashMap<>();
@@ -25,12 +29,88 @@
     private long idleSinceNanos;
     private boolean settingsUnknown;
 
-    PooledConnection(SessionConnection connection, ClientAccountId account, EndpointPool pool) {
+    private PooledConnection(
+            SessionConnection connection,
+            RelayedConnection relayed,
+            ClientAccountId account,
+            EndpointPool pool) {
         this.connection = connection;
+        this.relayed = relayed;
         this.account = account;
         this.pool = pool;
     }
 
+    /** Creates a connection of this proxy to the endpoint. */
+    PooledConnection(SessionConnection connection, ClientAccountId account, EndpointPool pool) {
+        this(connection, null, account, pool);
+    }
+
+    /** Creates a connection over a connection host, which serves one operation. */
+    static PooledConnection relayed(
+            RelayedConnection relayed, ClientAccountId account, EndpointPool pool) {
+        return new PooledConnection(relayed, relayed, account, pool);
+    }
+
+    /** Returns the id of the proxy whose connections are used; empty for this one. */
+    String hostId() {
+        return relayed == null ? "" : relayed.hostId();
+    }
+
+    /**
+     * Tells whether the proxy whose connections are used sends anything; then it is the one that
+     * gives up on the endpoint.
+     */
+    boolean isHostResponsive(long maxSilenceNanos) {
+        return relayed != null && relayed.silenceNanos() <= maxSilenceNanos;
+    }
+
+    boolean isRelayed() {
+        return relayed != null;
+    }
+
+    /** Sends a statement after the session's settings and its prepared statement. */
+    void execute(Attempt attempt, Consumer<EndpointReply> done) {
+        if (relayed != null) {
+            relayed.execute(attempt, done);
+            return;
+        }
+        applySettings(attempt.settings());
+        Statement statement = attempt.statement();
+        if (attempt.prepared() != null && statement instanceof Statement.Execute execute) {
+            ensurePrepared(attempt.prepared(), attempt.preparedName());
+            statement = new Statement.Execute(attempt.preparedName(), execute.arguments());
+        }
+        connection.execute(attempt.id(), statement, attempt.requiredPosition(), done);
+    }
+
+    /**
+     * Records that a statement was sent. A silent host says nothing about the endpoint, so relayed
+     * statements do not count as in flight there.
+     */
+    void recordSent(long nowNanos) {
+        if (relayed == null) {
+            pool.health().recordSent(nowNanos);
+        }
+    }
+
+    /** Records that a statement has ended. */
+    void recordEnded() {
+        if (relayed == null) {
+            pool.health().recordEnded();
+        }
+    }
+
+    /** Records what the reply says about the endpoint. */
+    void recordReply(EndpointReply reply, long sentAtNanos) {
+        if (relayed == null || relayed.isFromEndpoint()) {
+            pool.recordReply(reply, sentAtNanos);
+        } else if (relayed.haveAllHostsFailed()) {
+            pool.health().recordUnreachable(EventLoop.nowNanos());
+        } else if (reply.reply() == Reply.BUSY) {
+            pool.health().recordBusyHost(EventLoop.nowNanos());
+        }
+    }
+
     SessionConnection connection() {
         return connection;
     }
@@ -60,12 +140,12 @@
         settingsUnknown = true;
     }
 
-    boolean hasSettings(Map<String, String> wanted) {
+    private boolean hasSettings(Map<String, String> wanted) {
         return !settingsUnknown && settings.equals(wanted);
     }
 
     /** Sends the session's settings that differ, pipelined ahead of its statement. */
-    void applySettings(Map<String, String> wanted) {
+    private void applySettings(Map<String, String> wanted) {
         if (hasSettings(wanted)) {
             return;
         }
@@ -84,7 +164,7 @@
     }
 
     /** Prepares a statement under the proxy's name for it, unless that was done before. */
-    void ensurePrepared(Prepared wanted, String name) {
+    private void ensurePrepared(Prepared wanted, String name) {
         if (prepared.add(wanted)) {
             sendOwn(new Statement.Prepare(name, wanted));
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.Account;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
@@ -92,6 +95,14 @@
         }
     }
 
+    /** Returns the regions whose processes may receive a statement's text. */
+    AllowedRegions allowedRegions(Route route, ClientAccountId id) {
+        Account account = directory.configuration().account(id);
+        return account == null
+                ? route.allowedRegions()
+                : route.allowedRegions().intersect(account.allowedRegions());
+    }
+
     /** Returns the proxy's own name of a prepared statement, the same on all connections. */
     String nameFor(Prepared prepared) {
         if (names.size() >= MAX_NAMES) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -1,5 +1,6 @@
 package org.chivevale.proxy.internal.session;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,11 +18,19 @@
 import org.chivevale.database.MemberTarget;
 import org.chivevale.database.session.SessionConnector;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RenewalParticipant;
+import org.chivevale.proxy.internal.relay.FrameRelayTransport;
+import org.chivevale.proxy.internal.relay.RelayHostAddress;
+import org.chivevale.proxy.internal.relay.RelayLinks;
 import org.chivevale.wire.proto.ConnectionDemand;
+import org.chivevale.wire.proto.ConnectionHost;
 import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.ConnectionUse;
+import org.chivevale.wire.proto.EndpointHosts;
 import org.chivevale.wire.proto.EndpointMember;
 import org.chivevale.wire.proto.HealthReport;
 import org.chivevale.wire.proto.RenewAnswer;
@@ -60,8 +69,13 @@
     private final Map<MemberTarget, EndpointPool> pools = new HashMap<>();
     private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
     private final Set<EndpointId> suspected = new HashSet<>();
+    private final Map<String, List<RelayHostAddress>> hosts = new HashMap<>();
+    private final ProxySettings settings;
     private SessionConnector connector;
     private ControlLink link;
+    private RelayedConnection.Relay relay;
+    private ConnectionMeters meters;
+    private boolean isDraining;
     private long shareRequestedAtNanos;
 
     /** The leader's shares that the next demands are a difference to; 0 to list all demands. */
@@ -70,10 +84,15 @@
     /**
      * Creates the service.
      *
+     * @param settings the process's settings
      * @param directory configuration and members
      * @param connectors creates the connector of the event loop, which opens connections
      */
-    public SessionPools(Directory directory, Function<EventLoop, SessionConnector> connectors) {
+    public SessionPools(
+            ProxySettings settings,
+            Directory directory,
+            Function<EventLoop, SessionConnector> connectors) {
+        this.settings = settings;
         this.directory = directory;
         this.connectors = connectors;
     }
@@ -83,6 +102,13 @@
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
         link = kernel.find(ControlLink.NAME, ControlLink.class);
         connector = connectors.apply(loop);
+        MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
+        relay =
+                new RelayedConnection.Relay(
+                        new RelayLinks(new FrameRelayTransport(loop), EventLoop::nowNanos),
+                        registry,
+                        () -> requestShare(SHORTAGE_REQUEST_INTERVAL_NANOS));
+        meters = new ConnectionMeters(registry);
         loop.runAndWait(
                 () -> {
                     link.addRenewalParticipant(this);
@@ -99,7 +125,7 @@
         for (EndpointPool pool : List.copyOf(pools.values())) {
             pool.tick();
             isBusy |= pool.load() > 0 || pool.health().isFailing();
-            if (pool.load() > pool.share()) {
+            if (!pool.isRelayed() && pool.load() > pool.share()) {
                 requestShare(
                         pool.share() == 0
                                 ? SHARE_REQUEST_INTERVAL_NANOS
@@ -156,10 +182,138 @@
                 target,
                 key -> {
                     link.renewSoon();
-                    return new EndpointPool(key, connector, this::requestShare);
+                    EndpointPool pool =
+                            new EndpointPool(key, connector, this::requestShare, meters);
+                    updateRelay(pool);
+                    return pool;
                 });
     }
 
+    /**
+     * Finds the pool of an endpoint whose connections this proxy holds.
+     *
+     * @return null when the endpoint is unknown or other proxies hold its connections
+     */
+    EndpointPool findOwnPool(GroupId group, EndpointId endpoint) {
+        for (EndpointPool pool : pools.values()) {
+            boolean isWanted =
+                    pool.target().endpoint().equals(endpoint)
+                            && pool.target().group().equals(group);
+            if (isWanted) {
+                return pool.isRelayed() ? null : pool;
+            }
+        }
+        return null;
+    }
+
+    /** Tells control that this proxy takes no more statements of other proxies. */
+    void startDraining() {
+        isDraining = true;
+        link.renewSoon();
+    }
+
+    private static String key(MemberTarget target) {
+        return target.group() + "/" + target.endpoint();
+    }
+
+    private void updateRelay(EndpointPool pool) {
+        List<RelayHostAddress> ofPool = hosts.getOrDefault(key(pool.target()), List.of());
+        boolean isRelayed = !ofPool.isEmpty() && !includesThisProxy(ofPool);
+        if (isRelayed) {
+            pool.relayThrough(
+                    request ->
+                            new RelayedConnection(
+                                    relay,
+                                    permittedHosts(request, pool.target(), ofPool),
+                                    pool.target(),
+                                    request.account()));
+        } else if (pool.isRelayed()) {
+            pool.relayThrough(null);
+        }
+    }
+
+    /**
+     * Ranks the hosts that may receive a statement's text: those in the endpoint's or this proxy's
+     * region, and those in other regions that route and account permit.
+     */
+    private List<RelayHostAddress> permittedHosts(
+            PoolRequest request, MemberTarget target, List<RelayHostAddress> candidates) {
+        Set<String> near = new HashSet<>(Set.of(settings.region()));
+        for (EndpointMember member : directory.members(target.group())) {
+            if (member.getEndpointId().equals(target.endpoint().value())) {
+                near.add(member.getRegion());
+            }
+        }
+        List<RelayHostAddress> permitted =
+                candidates.stream()
+                        .filter(
+                                host ->
+                                        near.contains(host.region())
+                                                || request.allowedRegions().permits(host.region()))
+                        .toList();
+        return relay.links().rank(request.account(), permitted);
+    }
+
+    private boolean includesThisProxy(List<RelayHostAddress> candidates) {
+        return candidates.stream()
+                .anyMatch(
+                        host ->
+                                host.proxyId().equals(settings.id())
+                                        && host.incarnation() == link.incarnation());
+    }
+
+    private ConnectionUse use(EndpointPool pool) {
+        if (pool.isRelayed()) {
+            return ConnectionUse.RELAYED;
+        }
+        return hosts.containsKey(key(pool.target())) ? ConnectionUse.HOSTED : ConnectionUse.OWN;
+    }
+
+    /**
+     * Applies the hosts that a renewal brings; a pool whose use changes is reported again.
+     *
+     * @return true when a renewal should follow
+     */
+    private boolean updateHosts(RenewAnswer answer) {
+        if (!answer.getHostsWhole() && answer.getEndpointHostsCount() == 0) {
+            return false;
+        }
+        Map<EndpointPool, ConnectionUse> before = new HashMap<>();
+        pools.values().forEach(pool -> before.put(pool, use(pool)));
+        if (answer.getHostsWhole()) {
+            hosts.clear();
+        }
+        for (EndpointHosts message : answer.getEndpointHostsList()) {
+            String key = message.getGroupId() + "/" + message.getEndpointId();
+            if (message.getHostsCount() == 0) {
+                hosts.remove(key);
+            } else {
+                hosts.put(key, message.getHostsList().stream().map(SessionPools::decode).toList());
+            }
+        }
+        Set<HostPort> addresses = new HashSet<>();
+        hosts.values().forEach(each -> each.forEach(host -> addresses.add(host.address())));
+        relay.links().retain(addresses);
+        boolean isChanged = false;
+        for (EndpointPool pool : List.copyOf(pools.values())) {
+            updateRelay(pool);
+            if (before.get(pool) != use(pool)) {
+                LOG.infof("connections to %s: %s", key(pool.target()), use(pool));
+                pool.resetDemandReport();
+                isChanged = true;
+            }
+        }
+        return isChanged;
+    }
+
+    private static RelayHostAddress decode(ConnectionHost host) {
+        return new RelayHostAddress(
+                host.getProxyId(),
+                host.getIncarnation(),
+                host.getRegion(),
+                new HostPort(host.getHost(), host.getPort()));
+    }
+
     private void requestShare() {
         requestShare(SHARE_REQUEST_INTERVAL_NANOS);
     }
@@ -195,7 +349,7 @@
     @Override
     public void addTo(RenewRequest.Builder request) {
         long now = EventLoop.nowNanos();
-        request.setSharesEpoch(sharesEpoch);
+        request.setSharesEpoch(sharesEpoch).setDraining(isDraining);
         for (EndpointPool pool : pools.values()) {
             int wanted = pool.takePeakDemand();
             int limit = pool.limitInForce();
@@ -205,6 +359,7 @@
                                 .setEndpointId(pool.target().endpoint().value())
                                 .setGroupId(pool.target().group().toString())
                                 .setWanted(wanted)
+                                .setUse(use(pool))
                                 .setLimitInForce(limit));
             }
         }
@@ -236,7 +391,7 @@
     public void onRenewed(RenewAnswer answer) {
         boolean differencesRejected = sharesEpoch != 0 && sharesEpoch != answer.getSharesEpoch();
         sharesEpoch = differencesRejected ? 0 : answer.getSharesEpoch();
-        boolean shareReduced = differencesRejected;
+        boolean shareReduced = differencesRejected | updateHosts(answer);
         Map<String, Integer> limits = new HashMap<>();
         for (ConnectionShare share : answer.getConnectionSharesList()) {
             limits.put(share.getGroupId() + "/" + share.getEndpointId(), share.getLimit());
@@ -256,5 +411,6 @@
     @Override
     public void stop() {
         pools.values().forEach(EndpointPool::close);
+        relay.links().shutDown();
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -41,6 +41,9 @@
     /** A primary that has been silent for less than this counts as responsive. */
     private static final long RESPONSIVE_SILENCE_NANOS = 200 * NANOS_PER_MILLI;
 
+    /** Wait at a connection host after which a read looks for another endpoint. */
+    private static final long HOST_WAIT_NANOS = 200 * NANOS_PER_MILLI;
+
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
 
@@ -93,6 +96,8 @@
      * @param connection the connection that is still in use; null when released or closed
      * @param placement where it ran last; null when no endpoint was selected
      * @param attempts how often it was sent
+     * @param queuedNanos how long it waited before it was first sent
+     * @param host the proxy over whose connections it was sent last; empty for this one
      */
     record Outcome(
             EndpointReply reply,
@@ -100,7 +105,9 @@
             String detail,
             PooledConnection connection,
             Placement placement,
-            int attempts) {}
+            int attempts,
+            long queuedNanos,
+            String host) {}
 
     private final SessionEngine engine;
     private final Operation operation;
@@ -111,6 +118,7 @@
     private final long startedAtNanos = EventLoop.nowNanos();
     private final long timeoutNanos;
     private final Set<EndpointId> excluded = new HashSet<>();
+    private Placement fixedPlacement;
     private Placement placement;
     private PooledConnection connection;
     private EndpointPool.Waiter waiter;
@@ -120,6 +128,8 @@
     private boolean isFinished;
     private boolean isRerouting;
     private long sentAtNanos;
+    private long queuedNanos;
+    private String host = "";
     private int attempts;
     private String lastDetail = "";
 
@@ -156,6 +166,23 @@
                 engine, operation, context, null, null, holdConnection, listener);
     }
 
+    /**
+     * Creates an execution at one endpoint, for another proxy, which decides on attempts elsewhere;
+     * only a lack of capacity is retried here.
+     */
+    static StatementExecution atEndpoint(
+            SessionEngine engine,
+            Operation operation,
+            SessionContext context,
+            Placement fixed,
+            boolean holdConnection,
+            Listener listener) {
+        StatementExecution execution =
+                onAnyEndpoint(engine, operation, context, holdConnection, listener);
+        execution.fixedPlacement = fixed;
+        return execution;
+    }
+
     /** Creates an execution on the connection of an open transaction, which stays in use. */
     static StatementExecution onConnection(
             SessionEngine engine,
@@ -183,9 +210,18 @@
             fail(SessionError.BUSY, "no lease from control");
             return;
         }
+        if (fixedPlacement != null && !engine.isCurrent(fixedPlacement)) {
+            fail(SessionError.BUSY, "the primary was replaced");
+            return;
+        }
         placement =
-                engine.selectPlacement(
-                        context.route(), operation.primaryOnly(), context.lastCommit(), excluded);
+                fixedPlacement != null
+                        ? fixedPlacement
+                        : engine.selectPlacement(
+                                context.route(),
+                                operation.primaryOnly(),
+                                context.lastCommit(),
+                                excluded);
         if (placement == null) {
             lastDetail = "no endpoint can serve";
             if (!excluded.isEmpty()) {
@@ -204,12 +240,20 @@
     private void acquireConnection() {
         waiter = null;
         EndpointPool.Waiter requested =
-                placement.pool().acquire(context.account(), this::onConnectionReady);
+                placement.pool().acquire(poolRequest(), this::onConnectionReady);
         if (connection == null && !isFinished && !needsPlacement) {
             waiter = requested;
         }
     }
 
+    private PoolRequest poolRequest() {
+        return new PoolRequest(
+                context.account(),
+                context.route().priority(),
+                startedAtNanos + timeoutNanos,
+                engine.allowedRegions(context.route(), context.account()));
+    }
+
     private void onConnectionReady(PooledConnection ready) {
         waiter = null;
         if (isFinished) {
@@ -218,6 +262,10 @@
             }
             return;
         }
+        if (ready == null && fixedPlacement != null) {
+            fail(SessionError.BUSY, "the endpoint has left");
+            return;
+        }
         if (ready == null) {
             lastDetail = "the endpoint has left";
             retryElsewhere();
@@ -239,32 +287,41 @@
             return;
         }
         attempts++;
-        connection.applySettings(context.settings());
-        Statement statement = operation.statement();
-        if (operation.prepared() != null && statement instanceof Statement.Execute execute) {
-            String name = engine.nameFor(operation.prepared());
-            connection.ensurePrepared(operation.prepared(), name);
-            statement = new Statement.Execute(name, execute.arguments());
-        }
         isInFlight = true;
         isRerouting = false;
         sentAtNanos = EventLoop.nowNanos();
+        if (attempts == 1) {
+            queuedNanos = sentAtNanos - startedAtNanos;
+        }
         PooledConnection used = connection;
-        used.pool().health().recordSent(sentAtNanos);
-        TermPosition requiredPosition = isPinned ? null : placement.requiredPosition();
-        used.connection()
-                .execute(
-                        operation.id(), statement, requiredPosition, reply -> onReply(used, reply));
+        used.recordSent(sentAtNanos);
+        used.execute(attempt(), reply -> onReply(used, reply));
+    }
+
+    private Attempt attempt() {
+        long remainingNanos = timeoutNanos - (sentAtNanos - startedAtNanos);
+        return new Attempt(
+                operation.id(),
+                operation.statement(),
+                operation.prepared(),
+                operation.prepared() == null ? null : engine.nameFor(operation.prepared()),
+                context.settings(),
+                isPinned ? null : placement.requiredPosition(),
+                operation.effect(),
+                placement.isPrimary() ? placement.group().term() : 0,
+                context.route().priority(),
+                (int) Math.max(1, remainingNanos / NANOS_PER_MILLI));
     }
 
     private void onReply(PooledConnection used, EndpointReply reply) {
-        used.pool().health().recordEnded();
+        used.recordEnded();
+        host = used.hostId();
         if (isFinished) {
             return;
         }
         isInFlight = false;
         if (!isRerouting) {
-            used.pool().recordReply(reply, sentAtNanos);
+            used.recordReply(reply, sentAtNanos);
         }
         engine.recordPosition(placement, reply, sentAtNanos);
         EndpointReply effective = asLostIfReplaced(reply);
@@ -294,7 +351,7 @@
         switch (decision.step()) {
             case DELIVER -> finish(reply, null);
             case RETRY_ELSEWHERE -> {
-                if (retriesExhausted) {
+                if (retriesExhausted || !mayRetryHere(reply.reply())) {
                     releaseConnection(true);
                     finish(reply, decision.error());
                 } else {
@@ -322,6 +379,13 @@
         }
     }
 
+    /** Returns true unless the sender of a relayed statement decides on the next attempt. */
+    private boolean mayRetryHere(Reply reply) {
+        boolean lacksCapacity = reply == Reply.BUSY || reply == Reply.CONNECTIONS_EXHAUSTED;
+        boolean hasOtherEndpoints = operation.effect() == Effect.SINGLE_READ && attempts > 1;
+        return fixedPlacement == null || lacksCapacity && !hasOtherEndpoints;
+    }
+
     private void resend() {
         if (!isFinished) {
             send();
@@ -340,7 +404,11 @@
     private void retryElsewhere() {
         placement = null;
         needsPlacement = true;
-        boolean retryAtOnce = !operation.primaryOnly() && !excluded.isEmpty() && attempts < 3;
+        boolean retryAtOnce =
+                fixedPlacement == null
+                        && !operation.primaryOnly()
+                        && !excluded.isEmpty()
+                        && attempts < 3;
         if (retryAtOnce) {
             selectPlacement();
         } else {
@@ -385,7 +453,7 @@
             }
         } else if (needsPlacement) {
             retryPlacement();
-        } else if (waiter != null && !operation.primaryOnly()) {
+        } else if (waiter != null && !operation.primaryOnly() && fixedPlacement == null) {
             moveToFreeEndpoint();
         }
     }
@@ -405,13 +473,20 @@
         }
     }
 
+    /** Ends the execution unless its statement is in flight, as when its sender has given up. */
+    void cancelUnlessSent() {
+        if (!isFinished && !isInFlight) {
+            fail(SessionError.BUSY, "given up by the sender");
+        }
+    }
+
     private void checkReply(long nowNanos) {
         if (engine.isReplaced(placement)) {
             connection.connection().close();
             return;
         }
         isTimedOut = nowNanos - startedAtNanos > timeoutNanos;
-        isRerouting = !isTimedOut && isStuck(nowNanos);
+        isRerouting = !isTimedOut && (isStuck(nowNanos) || hasFasterEndpoint(nowNanos));
         if (!isTimedOut && !isRerouting) {
             return;
         }
@@ -432,9 +507,35 @@
                         || operation.effect() == Effect.IN_TRANSACTION;
         long averageNanos = (long) (connection.pool().health().responseMillis() * NANOS_PER_MILLI);
         long overdueNanos = Math.max(SILENCE_LIMIT_NANOS, OVERDUE_FACTOR * averageNanos);
+        if (connection.isHostResponsive(SILENCE_LIMIT_NANOS)) {
+            return false;
+        }
         return noLastingEffect && nowNanos - sentAtNanos > overdueNanos;
     }
 
+    /**
+     * Returns true when a read that waits at a connection host for long has another endpoint that
+     * is the better choice by now.
+     */
+    private boolean hasFasterEndpoint(long nowNanos) {
+        boolean canMove =
+                connection.isRelayed()
+                        && !isPinned
+                        && !operation.primaryOnly()
+                        && nowNanos - sentAtNanos > HOST_WAIT_NANOS;
+        if (!canMove) {
+            return false;
+        }
+        Set<EndpointId> others = new HashSet<>(excluded);
+        others.add(placement.pool().target().endpoint());
+        Placement best =
+                engine.selectPlacement(context.route(), false, context.lastCommit(), others);
+        return best != null
+                && best.pool() != placement.pool()
+                && best.pool().hasFreeConnection()
+                && !best.pool().health().isAvoided(nowNanos, SILENCE_LIMIT_NANOS);
+    }
+
     /** Closes the connection; the endpoint rolls back the transaction open on it. */
     private void closeConnection() {
         if (connection != null) {
@@ -468,6 +569,15 @@
         if (!holdsConnection || error != null && !isPinned) {
             releaseConnection(true);
         }
-        listener.onComplete(new Outcome(reply, error, lastDetail, connection, placement, attempts));
+        listener.onComplete(
+                new Outcome(
+                        reply,
+                        error,
+                        lastDetail,
+                        connection,
+                        placement,
+                        attempts,
+                        queuedNanos,
+                        host));
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
@@ -43,7 +43,8 @@
      * @param detail the text of the error
      * @param transaction the transaction state of the endpoint's connection
      * @param position the endpoint's log position, or null
-     * @param endpoint the endpoint that ran it last; empty when none did
+     * @param endpoint the endpoint that ran it last, and the proxy whose connections it went over
+     *     if that is another; empty when none did
      * @param requiredPosition the position required of the replica; empty at the primary
      * @param attempts how often it was sent
      * @param durationMicros the time from its start to its end
@@ -129,6 +130,11 @@
                 operation, context, outcome -> done.accept(toResult(outcome, startedNanos)));
     }
 
+    private static String endpointText(Placement placement, String host) {
+        String endpoint = placement.pool().target().endpoint().value();
+        return host.isEmpty() ? endpoint : endpoint + " host=" + host;
+    }
+
     private static Result toResult(StatementExecution.Outcome outcome, long startedNanos) {
         EndpointReply reply = outcome.reply();
         Placement placement = outcome.placement();
@@ -140,7 +146,7 @@
                 outcome.detail(),
                 reply == null ? TransactionState.NONE : reply.transaction(),
                 reply == null ? null : reply.position(),
-                placement == null ? "" : placement.pool().target().endpoint().value(),
+                placement == null ? "" : endpointText(placement, outcome.host()),
                 placement == null || placement.requiredPosition() == null
                         ? ""
                         : placement.requiredPosition().toString(),
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -183,7 +183,12 @@
         return directory.configuration();
     }
 
-    SessionEngine engine() {
+    /**
+     * Returns the engine that executes statements.
+     *
+     * @return the engine, to be used on the event loop; null before the start
+     */
+    public SessionEngine engine() {
         return engine;
     }
 
