--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.chivevale.core.admission.ConnectionHosts;
 import org.chivevale.process.DecisionLog;
 import org.chivevale.wire.proto.ConnectionHost;
@@ -207,7 +208,7 @@
                 EndpointHosts.newBuilder()
                         .setGroupId(key.substring(0, slash))
                         .setEndpointId(key.substring(slash + 1));
-        for (String id : hosts) {
+        for (String id : new TreeSet<>(hosts)) {
             ProxyMemberState proxy = proxies.get(id);
             message.addHosts(
                     ConnectionHost.newBuilder()
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.wire.proto.Frame;
+import org.chivevale.wire.proto.RelayEffect;
 import org.chivevale.wire.proto.RelayRequest;
 import org.jboss.logging.Logger;
 
@@ -15,7 +16,8 @@
  * The link of this proxy to one connection host.
  *
  * <p>Invariants: each request gets one outcome; it is reported as not sent only if no byte of it
- * was passed to the link. A request is written once: when the link closes it is not sent again.
+ * was passed to the link. A request is written once: when the link closes it is not sent again. A
+ * host that announces its end gets no new work on this link, only the statements of transactions.
  * Used on the event loop.
  */
 final class RelayLink {
@@ -37,6 +39,8 @@
     private RelayTransport.Channel channel;
     private boolean isConnecting;
     private boolean isShutDown;
+    private boolean isLeaving;
+    private int openTransactions;
     private long generation;
     private long lastFrameNanos;
     private long avoidUntilNanos;
@@ -70,14 +74,24 @@
         return channel != null && channel.isOpen() ? generation : 0;
     }
 
-    int pendingCount() {
-        return pending.size();
+    /** Tells whether a statement or a transaction depends on the link. */
+    boolean isNeeded() {
+        return !pending.isEmpty() || openTransactions > 0;
+    }
+
+    void addTransactions(int difference) {
+        openTransactions += difference;
     }
 
     void send(long correlationId, RelayRequest request, Consumer<RelayOutcome> done) {
         if (channel != null && !channel.isOpen()) {
             onClosed(generation);
         }
+        boolean isNewWork = request.getTransactionId() == 0 || isBegin(request);
+        if (isLeaving && isNewWork) {
+            done.accept(RelayOutcome.NOT_SENT);
+            return;
+        }
         Pending added = new Pending(request, done);
         pending.put(correlationId, added);
         if (channel != null) {
@@ -87,6 +101,10 @@
         }
     }
 
+    private static boolean isBegin(RelayRequest request) {
+        return request.getEffect() == RelayEffect.EFFECT_BEGIN;
+    }
+
     private void write(long correlationId, Pending added) {
         added.isWritten = true;
         added.writtenAtNanos = clock.getAsLong();
@@ -123,6 +141,7 @@
             return;
         }
         channel = opened;
+        isLeaving = false;
         lastFrameNanos = clock.getAsLong();
         new LinkedHashMap<>(pending)
                 .forEach(
@@ -139,6 +158,7 @@
         }
         LOG.infof("the link to connection host %s has closed", address);
         channel = null;
+        isLeaving = false;
         avoid();
         failAll();
     }
@@ -157,6 +177,12 @@
         if (!frame.hasRelayAnswer()) {
             return;
         }
+        if (frame.getCorrelationId() == 0) {
+            LOG.infof("connection host %s takes no new statements", address);
+            isLeaving = true;
+            avoid();
+            return;
+        }
         Pending answered = pending.remove(frame.getCorrelationId());
         if (answered != null) {
             answered.done.accept(RelayOutcome.answered(frame.getRelayAnswer()));
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLinks.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLinks.java
@@ -131,6 +131,24 @@
         link(host).close(closing);
     }
 
+    /**
+     * Records that a transaction has begun on a link, which keeps the link open.
+     *
+     * @param host the host
+     */
+    public void onTransactionBegun(RelayHostAddress host) {
+        link(host).addTransactions(1);
+    }
+
+    /**
+     * Records that a transaction has ended.
+     *
+     * @param host the host
+     */
+    public void onTransactionEnded(RelayHostAddress host) {
+        link(host).addTransactions(-1);
+    }
+
     /**
      * Avoids a host that takes no new statements.
      *
@@ -152,7 +170,7 @@
     }
 
     /**
-     * Closes links that no endpoint needs and on which nothing waits.
+     * Closes links that no endpoint, statement or transaction needs.
      *
      * @param needed the addresses of all hosts
      */
@@ -160,7 +178,7 @@
         Set<HostPort> unneeded =
                 links.entrySet().stream()
                         .filter(each -> !needed.contains(each.getKey()))
-                        .filter(each -> each.getValue().pendingCount() == 0)
+                        .filter(each -> !each.getValue().isNeeded())
                         .map(Map.Entry::getKey)
                         .collect(Collectors.toSet());
         unneeded.forEach(address -> links.remove(address).shutDown());
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
@@ -3,11 +3,12 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.chivevale.core.kernel.Kernel;
+import org.chivevale.core.kernel.ProcessLifetime;
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.DecisionLog;
@@ -21,6 +22,7 @@
 import org.chivevale.wire.FrameServer;
 import org.chivevale.wire.proto.Frame;
 import org.chivevale.wire.proto.RelayAnswer;
+import org.chivevale.wire.proto.RelayReply;
 import org.chivevale.wire.proto.RelayRequest;
 import org.jboss.logging.Logger;
 
@@ -35,13 +37,17 @@
 
     private static final Logger LOG = Logger.getLogger(RelayService.class);
     private static final long TICK_MILLIS = 250;
+
+    /** Time for other proxies to learn that this one drains before its links can close. */
+    private static final long NOTICE_MILLIS = 50;
+
     private static final int MAX_LOG_LINES_PER_SECOND = 100;
 
     private final ProxySettings settings;
     private final Directory directory;
     private final SessionPools pools;
     private final DecisionLog decisions = new DecisionLog(LOG, MAX_LOG_LINES_PER_SECOND);
-    private final Map<FrameConnection, RelayHost> links = new HashMap<>();
+    private final Map<FrameConnection, RelayHost> links = new ConcurrentHashMap<>();
     private EventLoop loop;
     private SessionEngine engine;
     private MeterRegistry registry;
@@ -157,7 +163,13 @@
                     () -> {
                         isDraining = true;
                         pools.startDraining();
+                        RelayAnswer moved =
+                                RelayAnswer.newBuilder().setReply(RelayReply.MOVED).build();
+                        links.keySet().forEach(link -> send(link, 0, moved));
                     });
+            if (!links.isEmpty()) {
+                ProcessLifetime.pause(NOTICE_MILLIS);
+            }
         }
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayedConnection.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayedConnection.java
@@ -48,6 +48,7 @@
     private final ClientAccountId account;
     private int hostIndex;
     private long transactionId = NO_TRANSACTION;
+    private boolean hasBegun;
     private long linkGeneration;
     private long correlationId;
     private long sentAtNanos;
@@ -160,8 +161,11 @@
                 isFromEndpoint = outcome.answer().getFromEndpoint();
                 linkGeneration = relay.links().generation(host());
                 EndpointReply reply = RelayCodec.decode(outcome.answer());
-                if (hasEndedTransaction(attempt.effect(), reply)) {
-                    transactionId = NO_TRANSACTION;
+                if (attempt.effect() == Effect.BEGIN && reply.reply() == Reply.SUCCESS) {
+                    hasBegun = true;
+                    relay.links().onTransactionBegun(host());
+                } else if (hasEndedTransaction(attempt.effect(), reply)) {
+                    forgetTransaction();
                 }
                 relay.registry()
                         .timer("chivevale.proxy.relay.round.trip")
@@ -172,6 +176,14 @@
         }
     }
 
+    private void forgetTransaction() {
+        if (hasBegun) {
+            relay.links().onTransactionEnded(host());
+        }
+        hasBegun = false;
+        transactionId = NO_TRANSACTION;
+    }
+
     private static boolean hasEndedTransaction(Effect effect, EndpointReply reply) {
         boolean isSuccess = reply.reply() == Reply.SUCCESS;
         return switch (effect) {
@@ -256,6 +268,7 @@
             isClosed = true;
             long abandoned = correlationId;
             RelayOutcome outcome = relay.links().abandon(host(), abandoned, closing(abandoned));
+            forgetTransaction();
             boolean isLost = outcome == null || outcome.kind() != RelayOutcome.Kind.NOT_SENT;
             reply(
                     isLost ? "lost" : "unreachable",
@@ -264,7 +277,7 @@
         } else if (transactionId != NO_TRANSACTION) {
             relay.links().close(host(), closing(0));
         }
-        transactionId = NO_TRANSACTION;
+        forgetTransaction();
         isClosed = true;
     }
 
