--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
@@ -132,7 +132,7 @@
      */
     void addHosts(RenewRequest request, RenewAnswer.Builder answer) {
         if (isUsable(request)) {
-            hosts.addTo(answer, request.getProxyId(), request.getSharesEpoch() == 0);
+            hosts.addTo(answer, request);
         }
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -10,10 +11,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.chivevale.core.admission.ConnectionHosts;
+import org.chivevale.core.admission.HostsDigest;
 import org.chivevale.process.DecisionLog;
 import org.chivevale.wire.proto.ConnectionHost;
 import org.chivevale.wire.proto.EndpointHosts;
 import org.chivevale.wire.proto.RenewAnswer;
+import org.chivevale.wire.proto.RenewRequest;
 import org.jboss.logging.Logger;
 
 /**
@@ -26,13 +29,17 @@
 final class HostAssignments {
     private static final Logger LOG = Logger.getLogger(HostAssignments.class);
     private static final int MAX_LOG_LINES_PER_SECOND = 50;
+
+    /** Endpoints whose hosts an answer lists, since all hosts at once would fill a VM's link. */
+    private static final int MAX_PER_ANSWER = 4;
+
     private static final long COMPUTE_INTERVAL_NANOS = 250_000_000L;
     private static final long MOVE_INTERVAL_NANOS = 1_000_000_000L;
 
     private final DecisionLog decisions = new DecisionLog(LOG, MAX_LOG_LINES_PER_SECOND);
     private final double sharedBelow;
     private final Map<String, Assignment> assignments = new HashMap<>();
-    private final Map<String, Long> sentVersions = new HashMap<>();
+    private final Map<String, Told> toldProxies = new HashMap<>();
     private final Set<String> draining = new HashSet<>();
     private long version = 1;
     private long seenMembersVersion = -1;
@@ -48,6 +55,13 @@
         long changedAt;
     }
 
+    /** What a proxy was told: the changes up to a version, and whether all hosts were listed. */
+    private static final class Told {
+        long version;
+        long digest;
+        boolean isComplete;
+    }
+
     /**
      * Creates the assignments of a new leader.
      *
@@ -70,7 +84,7 @@
 
     /** Removes a proxy that has left or lost its lease. */
     void remove(String proxy) {
-        sentVersions.remove(proxy);
+        toldProxies.remove(proxy);
         draining.remove(proxy);
         isDirty = true;
     }
@@ -173,32 +187,62 @@
         return isDecided;
     }
 
-    /** Tells whether a proxy may have connections to an endpoint, once hosts are decided. */
+    /**
+     * Tells whether a proxy may have connections to an endpoint, once hosts are decided; also
+     * before it was told the hosts, as it could not reach the endpoint otherwise.
+     */
     boolean mayConnect(String key, String proxy) {
         Assignment assignment = assignments.get(key);
-        return assignment == null || assignment.hosts.isEmpty() || assignment.hosts.contains(proxy);
+        return assignment == null
+                || assignment.hosts.isEmpty()
+                || assignment.hosts.contains(proxy)
+                || told(proxy).version < assignment.changedAt;
+    }
+
+    private Told told(String proxy) {
+        return toldProxies.computeIfAbsent(proxy, ignored -> new Told());
     }
 
     /**
-     * Adds the hosts that a proxy does not know yet to the answer to its renewal.
+     * Adds hosts that a proxy does not know yet to the answer to its renewal.
      *
-     * @param proxy the proxy that renews
-     * @param all true when it needs all of them
+     * @param request the renewal, whose differences can be used
      */
-    void addTo(RenewAnswer.Builder answer, String proxy, boolean all) {
-        if (!isDecided) {
+    void addTo(RenewAnswer.Builder answer, RenewRequest request) {
+        if (request.getSharesEpoch() == 0) {
+            toldProxies.remove(request.getProxyId());
+            told(request.getProxyId()).digest = request.getHostsDigest();
+        }
+        Told told = told(request.getProxyId());
+        if (!isDecided || told.isComplete && told.version == version) {
+            return;
+        }
+        if (!told.isComplete && told.version == 0 && told.digest == digest()) {
+            told.isComplete = true;
+            told.version = version;
             return;
         }
-        Long known = all ? null : sentVersions.get(proxy);
-        sentVersions.put(proxy, version);
-        answer.setHostsWhole(known == null);
+        List<Assignment> untold = new ArrayList<>();
         for (Assignment assignment : assignments.values()) {
-            boolean isNew =
-                    known == null ? !assignment.hosts.isEmpty() : assignment.changedAt > known;
-            if (isNew) {
-                answer.addEndpointHosts(assignment.message);
+            boolean isNew = assignment.changedAt > told.version;
+            if (isNew && (told.isComplete || !assignment.hosts.isEmpty())) {
+                untold.add(assignment);
             }
         }
+        untold.sort(Comparator.comparingLong(assignment -> assignment.changedAt));
+        int count = Math.min(untold.size(), MAX_PER_ANSWER);
+        untold.subList(0, count).forEach(assignment -> answer.addEndpointHosts(assignment.message));
+        if (count < untold.size()) {
+            told.version = untold.get(count - 1).changedAt;
+            return;
+        }
+        answer.setHostsComplete(!told.isComplete);
+        told.isComplete = true;
+        told.version = version;
+    }
+
+    private long digest() {
+        return HostsDigest.of(assignments.values().stream().map(each -> each.message).toList());
     }
 
     private static EndpointHosts message(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import org.chivevale.core.admission.HostsDigest;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -70,6 +71,11 @@
     private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
     private final Set<EndpointId> suspected = new HashSet<>();
     private final Map<String, List<RelayHostAddress>> hosts = new HashMap<>();
+    private final Map<String, EndpointHosts> hostMessages = new HashMap<>();
+
+    /** Endpoints whose hosts were told since all demands were listed last. */
+    private final Set<String> toldHosts = new HashSet<>();
+
     private final ProxySettings settings;
     private SessionConnector connector;
     private ControlLink link;
@@ -275,22 +281,28 @@
      * @return true when a renewal should follow
      */
     private boolean updateHosts(RenewAnswer answer) {
-        if (!answer.getHostsWhole() && answer.getEndpointHostsCount() == 0) {
+        if (!answer.getHostsComplete() && answer.getEndpointHostsCount() == 0) {
             return false;
         }
         Map<EndpointPool, ConnectionUse> before = new HashMap<>();
         pools.values().forEach(pool -> before.put(pool, use(pool)));
-        if (answer.getHostsWhole()) {
-            hosts.clear();
-        }
         for (EndpointHosts message : answer.getEndpointHostsList()) {
             String key = message.getGroupId() + "/" + message.getEndpointId();
-            if (message.getHostsCount() == 0) {
-                hosts.remove(key);
-            } else {
-                hosts.put(key, message.getHostsList().stream().map(SessionPools::decode).toList());
-            }
+            hostMessages.put(key, message);
+            toldHosts.add(key);
+        }
+        if (answer.getHostsComplete()) {
+            hostMessages.keySet().retainAll(toldHosts);
         }
+        hostMessages.values().removeIf(message -> message.getHostsCount() == 0);
+        hosts.clear();
+        hostMessages.forEach(
+                (key, message) ->
+                        hosts.put(
+                                key,
+                                message.getHostsList().stream()
+                                        .map(SessionPools::decode)
+                                        .toList()));
         Set<HostPort> addresses = new HashSet<>();
         hosts.values().forEach(each -> each.forEach(host -> addresses.add(host.address())));
         relay.links().retain(addresses);
@@ -350,6 +362,10 @@
     public void addTo(RenewRequest.Builder request) {
         long now = EventLoop.nowNanos();
         request.setSharesEpoch(sharesEpoch).setDraining(isDraining);
+        if (sharesEpoch == 0) {
+            toldHosts.clear();
+            request.setHostsDigest(HostsDigest.of(hostMessages.values()));
+        }
         for (EndpointPool pool : pools.values()) {
             int wanted = pool.takePeakDemand();
             int limit = pool.limitInForce();
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
@@ -5,12 +5,15 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.chivevale.core.admission.DemandReport;
+import org.chivevale.core.admission.HostsDigest;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -31,7 +34,7 @@
     private static final GroupId GROUP = new GroupId("orders", 0);
     private static final int LIMIT = 20;
     private static final int PROXIES = 8;
-    private static final int ENDPOINTS = 3;
+    private static final int ENDPOINTS = 6;
     private static final double SHARED_BELOW = 100;
     private static final long STEP_NANOS = 100_000_000;
 
@@ -45,6 +48,7 @@
         final long incarnation = ++incarnations;
         final int[] share = new int[ENDPOINTS];
         final int[] demand = new int[ENDPOINTS];
+        final Set<String> told = new HashSet<>();
         final Map<String, EndpointHosts> hosts = new HashMap<>();
         final List<DemandReport> reports = new ArrayList<>();
         long epoch;
@@ -77,6 +81,10 @@
                             .setProxyId(id)
                             .setSharesEpoch(epoch)
                             .setDraining(draining);
+            if (epoch == 0) {
+                told.clear();
+                request.setHostsDigest(HostsDigest.of(hosts.values()));
+            }
             for (int i = 0; i < ENDPOINTS; i++) {
                 int wanted = use(i) == ConnectionUse.RELAYED ? 0 : demand[i];
                 if (reports.get(i).takeDue(wanted, share[i], epoch == 0, nowNanos)) {
@@ -94,10 +102,8 @@
 
         void apply(RenewAnswer answer) {
             epoch = epoch != 0 && epoch != answer.getSharesEpoch() ? 0 : answer.getSharesEpoch();
-            if (answer.getHostsWhole()) {
-                hosts.clear();
-            }
             for (EndpointHosts changed : answer.getEndpointHostsList()) {
+                told.add(changed.getEndpointId());
                 if (changed.getHostsCount() == 0) {
                     hosts.remove(changed.getEndpointId());
                 } else {
@@ -105,6 +111,9 @@
                 }
                 reports.set(changed.getEndpointId().charAt(2) - '0', new DemandReport());
             }
+            if (answer.getHostsComplete()) {
+                hosts.keySet().retainAll(told);
+            }
             answer.getConnectionSharesList()
                     .forEach(
                             granted ->
@@ -220,9 +229,10 @@
                 }
                 now += STEP_NANOS;
             }
-            for (Proxy proxy : proxies) {
-                renew(shares, proxy, now, false);
-                renew(shares, proxy, now, false);
+            for (int turn = 0; turn < 4; turn++) {
+                for (Proxy proxy : proxies) {
+                    renew(shares, proxy, now, false);
+                }
             }
             Map<String, EndpointHosts> agreed = proxies.get(0).hosts;
             assertEquals(ENDPOINTS, agreed.size());
