--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
@@ -176,6 +176,7 @@
     @Override
     public void stop() {
         if (server != null) {
+            links.keySet().forEach(FrameConnection::close);
             server.close();
         }
     }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/relay/RelayLinksTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/relay/RelayLinksTest.java
@@ -7,15 +7,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.settings.HostPort;
+import org.chivevale.proxy.internal.relay.FakeRelayTransport.FakeChannel;
 import org.chivevale.proxy.internal.relay.RelayOutcome.Kind;
-import org.chivevale.wire.proto.Frame;
 import org.chivevale.wire.proto.RelayAnswer;
 import org.chivevale.wire.proto.RelayEffect;
 import org.chivevale.wire.proto.RelayReply;
@@ -30,7 +27,7 @@
     private static final long MILLI = 1_000_000;
     private static final RelayRequest REQUEST = RelayRequest.getDefaultInstance();
 
-    private final FakeTransport transport = new FakeTransport();
+    private final FakeRelayTransport transport = new FakeRelayTransport();
     private final RelayHostAddress host = host(1);
     private final RelayHostAddress other = host(2);
     private final List<RelayOutcome> outcomes = new ArrayList<>();
@@ -41,61 +38,8 @@
         return new RelayHostAddress("h-" + number, 1, "r", new HostPort("10.0.0.1", number));
     }
 
-    /** Hands the ends of its links to the test. */
-    private static final class FakeTransport implements RelayTransport {
-        final Map<Integer, FakeChannel> channels = new HashMap<>();
-
-        @Override
-        public void connect(
-                HostPort address,
-                Consumer<Frame> received,
-                Runnable closed,
-                Consumer<Channel> connected) {
-            channels.put(address.port(), new FakeChannel(received, closed, connected));
-        }
-
-        @Override
-        public void close() {}
-    }
-
-    private static final class FakeChannel implements RelayTransport.Channel {
-        final Consumer<Frame> received;
-        final Runnable closed;
-        final Consumer<RelayTransport.Channel> connected;
-        final List<Frame> sent = new ArrayList<>();
-        boolean isOpen = true;
-
-        FakeChannel(
-                Consumer<Frame> received,
-                Runnable closed,
-                Consumer<RelayTransport.Channel> connected) {
-            this.received = received;
-            this.closed = closed;
-            this.connected = connected;
-        }
-
-        @Override
-        public void send(Frame frame) {
-            sent.add(frame);
-        }
-
-        @Override
-        public boolean isOpen() {
-            return isOpen;
-        }
-
-        @Override
-        public void close() {
-            isOpen = false;
-        }
-
-        void answer(long correlationId, RelayReply reply) {
-            received.accept(
-                    Frame.newBuilder()
-                            .setCorrelationId(correlationId)
-                            .setRelayAnswer(RelayAnswer.newBuilder().setReply(reply))
-                            .build());
-        }
+    private static RelayAnswer.Builder reply(RelayReply code) {
+        return RelayAnswer.newBuilder().setReply(code);
     }
 
     private FakeChannel channel() {
@@ -111,8 +55,8 @@
     private FakeChannel open() {
         send(REQUEST);
         FakeChannel opened = channel();
-        opened.connected.accept(opened);
-        opened.answer(1, RelayReply.SUCCESS);
+        opened.accept();
+        opened.answer(1, reply(RelayReply.SUCCESS));
         outcomes.clear();
         return opened;
     }
@@ -124,7 +68,7 @@
     @Test
     void aRequestToAHostThatCannotBeReachedHasNotRun() {
         send(REQUEST);
-        channel().connected.accept(null);
+        channel().refuse();
         assertEquals(List.of(Kind.NOT_SENT), kinds());
         assertFalse(links.isUsable(host));
     }
@@ -133,8 +77,8 @@
     void aRequestThatWasWrittenBeforeTheLinkClosedMayHaveRun() {
         FakeChannel opened = open();
         send(REQUEST);
-        opened.isOpen = false;
-        opened.closed.run();
+        opened.cut();
+        opened.reportClosed();
         assertEquals(List.of(Kind.LOST), kinds());
     }
 
@@ -144,11 +88,11 @@
         FakeChannel opened = open();
         long before = links.generation(host);
         send(REQUEST);
-        opened.isOpen = false;
+        opened.cut();
         send(REQUEST);
         assertEquals(List.of(Kind.LOST), kinds());
-        opened.closed.run();
-        channel().connected.accept(channel());
+        opened.reportClosed();
+        channel().accept();
         assertEquals(1, channel().sent.size());
         assertNotEquals(before, links.generation(host));
         assertEquals(List.of(Kind.LOST), kinds());
@@ -158,8 +102,8 @@
     void aSecondAnswerToARequestChangesNothing() {
         FakeChannel opened = open();
         long id = send(REQUEST);
-        opened.answer(id, RelayReply.SUCCESS);
-        opened.answer(id, RelayReply.MOVED);
+        opened.answer(id, reply(RelayReply.SUCCESS));
+        opened.answer(id, reply(RelayReply.MOVED));
         assertEquals(List.of(Kind.ANSWERED), kinds());
         assertNull(links.abandon(host, id, REQUEST));
     }
@@ -169,7 +113,7 @@
         FakeChannel opened = open();
         long first = send(REQUEST);
         nowNanos += 300 * MILLI;
-        opened.answer(send(REQUEST), RelayReply.SUCCESS);
+        opened.answer(send(REQUEST), reply(RelayReply.SUCCESS));
         nowNanos += 200 * MILLI;
         assertEquals(RelayOutcome.LOST, links.abandon(host, first, REQUEST));
         assertTrue(links.isUsable(host), "it has answered another request meanwhile");
@@ -187,14 +131,14 @@
     void anAbandonedRequestThatWasNeverWrittenHasNotRun() {
         long id = send(REQUEST);
         assertEquals(RelayOutcome.NOT_SENT, links.abandon(host, id, REQUEST));
-        channel().connected.accept(channel());
+        channel().accept();
         assertTrue(channel().sent.isEmpty());
     }
 
     @Test
     void aDrainingHostGetsTheStatementsOfItsTransactionsOnly() {
         FakeChannel opened = open();
-        opened.answer(0, RelayReply.MOVED);
+        opened.answer(0, reply(RelayReply.MOVED));
         int sent = opened.sent.size();
         send(REQUEST);
         send(
@@ -216,10 +160,10 @@
         FakeChannel opened = open();
         links.onTransactionBegun(host);
         links.retain(Set.of());
-        assertTrue(opened.isOpen);
+        assertTrue(opened.isOpen());
         links.onTransactionEnded(host);
         links.retain(Set.of());
-        assertFalse(opened.isOpen);
+        assertFalse(opened.isOpen());
     }
 
     @Test
