--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
@@ -83,7 +83,7 @@
             return List.of();
         }
         proxies.add(request.getProxyId());
-        hosts.setDraining(request.getProxyId(), request.getDraining());
+        hosts.report(request);
         settleWhenDue(nowNanos);
         if (!isSettling) {
             hosts.update(membership, nowNanos);
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/HostAssignments.java
@@ -41,6 +41,10 @@
     private final Map<String, Assignment> assignments = new HashMap<>();
     private final Map<String, Told> toldProxies = new HashMap<>();
     private final Set<String> draining = new HashSet<>();
+
+    /** Proxies that can be hosts; the others keep their own connections. */
+    private final Set<String> relaying = new HashSet<>();
+
     private long version = 1;
     private long seenMembersVersion = -1;
     private boolean isDirty;
@@ -78,14 +82,18 @@
         }
     }
 
-    void setDraining(String proxy, boolean isDraining) {
-        isDirty |= isDraining ? draining.add(proxy) : draining.remove(proxy);
+    /** Records what a proxy says of itself with its renewal. */
+    void report(RenewRequest request) {
+        String proxy = request.getProxyId();
+        isDirty |= request.getDraining() ? draining.add(proxy) : draining.remove(proxy);
+        isDirty |= request.getRelays() ? relaying.add(proxy) : relaying.remove(proxy);
     }
 
     /** Removes a proxy that has left or lost its lease. */
     void remove(String proxy) {
         toldProxies.remove(proxy);
         draining.remove(proxy);
+        relaying.remove(proxy);
         isDirty = true;
     }
 
@@ -134,7 +142,11 @@
     private List<ConnectionHosts.Candidate> candidates(Collection<ProxyMemberState> proxies) {
         List<ConnectionHosts.Candidate> candidates = new ArrayList<>();
         for (ProxyMemberState proxy : proxies) {
-            if (proxy.forwardAddress().port() != 0 && !draining.contains(proxy.id())) {
+            boolean canHost =
+                    proxy.forwardAddress().port() != 0
+                            && relaying.contains(proxy.id())
+                            && !draining.contains(proxy.id());
+            if (canHost) {
                 candidates.add(
                         new ConnectionHosts.Candidate(
                                 proxy.id(), proxy.dataCenter(), proxy.region()));
@@ -194,6 +206,7 @@
     boolean mayConnect(String key, String proxy) {
         Assignment assignment = assignments.get(key);
         return assignment == null
+                || !relaying.contains(proxy)
                 || assignment.hosts.isEmpty()
                 || assignment.hosts.contains(proxy)
                 || told(proxy).version < assignment.changedAt;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
@@ -127,6 +127,10 @@
             reject(correlationId, request, RelayReply.MOVED, "no host of the endpoint or account");
             return;
         }
+        if (isEvacuated(groupId, endpoint)) {
+            reject(correlationId, request, RelayReply.MOVED, "the data centre is evacuated");
+            return;
+        }
         Group group = configuration.group(groupId);
         boolean isPrimary = request.getTerm() != 0;
         boolean needsPrimary =
@@ -170,6 +174,12 @@
                 });
     }
 
+    private boolean isEvacuated(GroupId group, EndpointId endpoint) {
+        return directory.members(group).stream()
+                .filter(member -> member.getEndpointId().equals(endpoint.value()))
+                .anyMatch(member -> directory.configuration().isEvacuated(member.getDataCenter()));
+    }
+
     private boolean isKnown(ClientAccountId account, GroupId group) {
         Configuration configuration = directory.configuration();
         boolean isAnonymous =
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
-import org.chivevale.core.admission.HostsDigest;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -25,13 +24,12 @@
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RenewalParticipant;
 import org.chivevale.proxy.internal.relay.FrameRelayTransport;
+import org.chivevale.proxy.internal.relay.KnownHosts;
 import org.chivevale.proxy.internal.relay.RelayHostAddress;
 import org.chivevale.proxy.internal.relay.RelayLinks;
 import org.chivevale.wire.proto.ConnectionDemand;
-import org.chivevale.wire.proto.ConnectionHost;
 import org.chivevale.wire.proto.ConnectionShare;
 import org.chivevale.wire.proto.ConnectionUse;
-import org.chivevale.wire.proto.EndpointHosts;
 import org.chivevale.wire.proto.EndpointMember;
 import org.chivevale.wire.proto.HealthReport;
 import org.chivevale.wire.proto.RenewAnswer;
@@ -70,12 +68,7 @@
     private final Map<MemberTarget, EndpointPool> pools = new HashMap<>();
     private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
     private final Set<EndpointId> suspected = new HashSet<>();
-    private final Map<String, List<RelayHostAddress>> hosts = new HashMap<>();
-    private final Map<String, EndpointHosts> hostMessages = new HashMap<>();
-
-    /** Endpoints whose hosts were told since all demands were listed last. */
-    private final Set<String> toldHosts = new HashSet<>();
-
+    private final KnownHosts hosts = new KnownHosts();
     private final ProxySettings settings;
     private SessionConnector connector;
     private ControlLink link;
@@ -218,12 +211,8 @@
         link.renewSoon();
     }
 
-    private static String key(MemberTarget target) {
-        return target.group() + "/" + target.endpoint();
-    }
-
     private void updateRelay(EndpointPool pool) {
-        List<RelayHostAddress> ofPool = hosts.getOrDefault(key(pool.target()), List.of());
+        List<RelayHostAddress> ofPool = hosts.of(pool.target());
         boolean isRelayed = !ofPool.isEmpty() && !includesThisProxy(ofPool);
         if (isRelayed) {
             pool.relayThrough(
@@ -272,7 +261,7 @@
         if (pool.isRelayed()) {
             return ConnectionUse.RELAYED;
         }
-        return hosts.containsKey(key(pool.target())) ? ConnectionUse.HOSTED : ConnectionUse.OWN;
+        return hosts.of(pool.target()).isEmpty() ? ConnectionUse.OWN : ConnectionUse.HOSTED;
     }
 
     /**
@@ -281,36 +270,17 @@
      * @return true when a renewal should follow
      */
     private boolean updateHosts(RenewAnswer answer) {
-        if (!answer.getHostsComplete() && answer.getEndpointHostsCount() == 0) {
-            return false;
-        }
         Map<EndpointPool, ConnectionUse> before = new HashMap<>();
         pools.values().forEach(pool -> before.put(pool, use(pool)));
-        for (EndpointHosts message : answer.getEndpointHostsList()) {
-            String key = message.getGroupId() + "/" + message.getEndpointId();
-            hostMessages.put(key, message);
-            toldHosts.add(key);
-        }
-        if (answer.getHostsComplete()) {
-            hostMessages.keySet().retainAll(toldHosts);
+        if (!hosts.apply(answer)) {
+            return false;
         }
-        hostMessages.values().removeIf(message -> message.getHostsCount() == 0);
-        hosts.clear();
-        hostMessages.forEach(
-                (key, message) ->
-                        hosts.put(
-                                key,
-                                message.getHostsList().stream()
-                                        .map(SessionPools::decode)
-                                        .toList()));
-        Set<HostPort> addresses = new HashSet<>();
-        hosts.values().forEach(each -> each.forEach(host -> addresses.add(host.address())));
-        relay.links().retain(addresses);
+        relay.links().retain(hosts.addresses());
         boolean isChanged = false;
         for (EndpointPool pool : List.copyOf(pools.values())) {
             updateRelay(pool);
             if (before.get(pool) != use(pool)) {
-                LOG.infof("connections to %s: %s", key(pool.target()), use(pool));
+                LOG.infof("connections to %s: %s", pool.target().endpoint(), use(pool));
                 pool.resetDemandReport();
                 isChanged = true;
             }
@@ -318,14 +288,6 @@
         return isChanged;
     }
 
-    private static RelayHostAddress decode(ConnectionHost host) {
-        return new RelayHostAddress(
-                host.getProxyId(),
-                host.getIncarnation(),
-                host.getRegion(),
-                new HostPort(host.getHost(), host.getPort()));
-    }
-
     private void requestShare() {
         requestShare(SHARE_REQUEST_INTERVAL_NANOS);
     }
@@ -362,10 +324,7 @@
     public void addTo(RenewRequest.Builder request) {
         long now = EventLoop.nowNanos();
         request.setSharesEpoch(sharesEpoch).setDraining(isDraining);
-        if (sharesEpoch == 0) {
-            toldHosts.clear();
-            request.setHostsDigest(HostsDigest.of(hostMessages.values()));
-        }
+        hosts.addTo(request);
         for (EndpointPool pool : pools.values()) {
             int wanted = pool.takePeakDemand();
             int limit = pool.limitInForce();
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
@@ -80,6 +80,7 @@
                     RenewRequest.newBuilder()
                             .setProxyId(id)
                             .setSharesEpoch(epoch)
+                            .setRelays(true)
                             .setDraining(draining);
             if (epoch == 0) {
                 told.clear();
