--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -348,9 +348,9 @@
                         .setLeaseMillis(leaseNanos / NANOS_PER_MILLI)
                         .setProxyCount(proxyCount())
                         .addAllControlAddresses(log.memberAddresses())
-                        .setSharesEpoch(shares.epochFor(request))
-                        .addAllConnectionShares(shares.renew(request, membership, now));
-        shares.addHosts(request, answer);
+                        .setSharesEpoch(shares.epochFor(request));
+        shares.addHosts(request, membership, now, answer);
+        answer.addAllConnectionShares(shares.renew(request, membership, now));
         addConfiguration(answer, request.getConfigVersion());
         addMembers(answer, request);
         return answer.build();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetShares.java
@@ -83,11 +83,7 @@
             return List.of();
         }
         proxies.add(request.getProxyId());
-        hosts.report(request);
         settleWhenDue(nowNanos);
-        if (!isSettling) {
-            hosts.update(membership, nowNanos);
-        }
         List<ConnectionShare> answer = new ArrayList<>();
         Set<String> reported = new HashSet<>();
         for (ConnectionDemand demand : request.getConnectionDemandsList()) {
@@ -125,12 +121,24 @@
     }
 
     /**
-     * Adds the connection hosts that a proxy does not know yet to the answer to its renewal.
+     * Adds the connection hosts that a proxy does not know yet to the answer to its renewal; to be
+     * called before {@link #renew}, which withdraws shares from proxies that know the hosts.
      *
-     * @param request the renewal, for which the shares were updated before
-     * @param answer the answer to it
+     * @param request the renewal
+     * @param membership has the proxies and the limits of the endpoints
+     * @param nowNanos the monotonic time
+     * @param answer the answer to the renewal
      */
-    void addHosts(RenewRequest request, RenewAnswer.Builder answer) {
+    void addHosts(
+            RenewRequest request,
+            Membership membership,
+            long nowNanos,
+            RenewAnswer.Builder answer) {
+        hosts.report(request);
+        settleWhenDue(nowNanos);
+        if (!isSettling) {
+            hosts.update(membership, nowNanos);
+        }
         if (isUsable(request)) {
             hosts.addTo(answer, request);
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
@@ -313,6 +313,7 @@
         Reply reply =
                 switch (outcome.error()) {
                     case BUSY -> Reply.BUSY;
+                    case NOT_PRIMARY -> Reply.NOT_PRIMARY;
                     case ABORTED -> Reply.REFUSED;
                     default -> Reply.LOST;
                 };
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
@@ -43,6 +43,9 @@
 
     private static final int MAX_LOG_LINES_PER_SECOND = 100;
 
+    /** Below the size of a frame that closes its link, and with it all other statements. */
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+
     private final ProxySettings settings;
     private final Directory directory;
     private final SessionPools pools;
@@ -120,7 +123,14 @@
                 .receive(frame.getCorrelationId(), frame.getRelayRequest(), isDraining);
     }
 
-    private static void send(FrameConnection connection, long correlationId, RelayAnswer answer) {
+    private static void send(FrameConnection connection, long correlationId, RelayAnswer full) {
+        RelayAnswer answer =
+                full.getSerializedSize() <= MAX_ANSWER_BYTES
+                        ? full
+                        : RelayAnswer.newBuilder()
+                                .setReply(RelayReply.LOST)
+                                .setDetail("the result is too large to be relayed")
+                                .build();
         connection.send(
                 Frame.newBuilder().setCorrelationId(correlationId).setRelayAnswer(answer).build());
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -206,12 +206,12 @@
 
     private void selectPlacement() {
         needsPlacement = true;
-        if (!engine.isLeased()) {
-            fail(SessionError.BUSY, "no lease from control");
+        if (fixedPlacement != null && !engine.isCurrent(fixedPlacement)) {
+            fail(SessionError.NOT_PRIMARY, "the host has no lease or the primary was replaced");
             return;
         }
-        if (fixedPlacement != null && !engine.isCurrent(fixedPlacement)) {
-            fail(SessionError.BUSY, "the primary was replaced");
+        if (!engine.isLeased()) {
+            fail(SessionError.BUSY, "no lease from control");
             return;
         }
         placement =
@@ -263,7 +263,7 @@
             return;
         }
         if (ready == null && fixedPlacement != null) {
-            fail(SessionError.BUSY, "the endpoint has left");
+            fail(SessionError.NOT_PRIMARY, "the endpoint has left");
             return;
         }
         if (ready == null) {
@@ -351,7 +351,7 @@
         switch (decision.step()) {
             case DELIVER -> finish(reply, null);
             case RETRY_ELSEWHERE -> {
-                if (retriesExhausted || !mayRetryHere(reply.reply())) {
+                if (retriesExhausted || !mayRetry(reply.reply())) {
                     releaseConnection(true);
                     finish(reply, decision.error());
                 } else {
@@ -379,11 +379,18 @@
         }
     }
 
-    /** Returns true unless the sender of a relayed statement decides on the next attempt. */
-    private boolean mayRetryHere(Reply reply) {
+    /**
+     * Returns true when another attempt is this proxy's to make: a connection host retries what
+     * lacks capacity, and leaves the rest to the sender, which does not repeat what the host did.
+     */
+    private boolean mayRetry(Reply reply) {
         boolean lacksCapacity = reply == Reply.BUSY || reply == Reply.CONNECTIONS_EXHAUSTED;
+        if (fixedPlacement == null) {
+            boolean hostHasRetried = connection != null && connection.isRelayed() && lacksCapacity;
+            return !hostHasRetried || !operation.primaryOnly();
+        }
         boolean hasOtherEndpoints = operation.effect() == Effect.SINGLE_READ && attempts > 1;
-        return fixedPlacement == null || lacksCapacity && !hasOtherEndpoints;
+        return lacksCapacity && !hasOtherEndpoints;
     }
 
     private void resend() {
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
@@ -156,10 +156,9 @@
                         1));
         RenewRequest request = proxy.request(nowNanos);
         RenewAnswer.Builder answer =
-                RenewAnswer.newBuilder()
-                        .setSharesEpoch(shares.epochFor(request))
-                        .addAllConnectionShares(shares.renew(request, membership, nowNanos));
-        shares.addHosts(request, answer);
+                RenewAnswer.newBuilder().setSharesEpoch(shares.epochFor(request));
+        shares.addHosts(request, membership, nowNanos, answer);
+        answer.addAllConnectionShares(shares.renew(request, membership, nowNanos));
         if (answerLost) {
             proxy.epoch = 0;
         } else {
