--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
@@ -32,4 +32,25 @@
         Effect effect,
         long primaryTerm,
         int priority,
-        int remainingMillis) {}
+        int remainingMillis) {
+    /** Creates an attempt at a placement; one of an open transaction needs no position. */
+    static Attempt of(
+            SessionEngine engine,
+            StatementExecution.Operation operation,
+            StatementExecution.SessionContext context,
+            Placement placement,
+            boolean isPinned,
+            int remainingMillis) {
+        return new Attempt(
+                operation.id(),
+                operation.statement(),
+                operation.prepared(),
+                operation.prepared() == null ? null : engine.nameFor(operation.prepared()),
+                context.settings(),
+                isPinned ? null : placement.requiredPosition(),
+                operation.effect(),
+                placement.isPrimary() ? placement.group().term() : 0,
+                context.route().priority(),
+                remainingMillis);
+    }
+}
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -41,9 +41,6 @@
     /** A primary that has been silent for less than this counts as responsive. */
     private static final long RESPONSIVE_SILENCE_NANOS = 200 * NANOS_PER_MILLI;
 
-    /** Wait at a connection host after which a read looks for another endpoint. */
-    private static final long HOST_WAIT_NANOS = 200 * NANOS_PER_MILLI;
-
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
 
@@ -295,22 +292,14 @@
         }
         PooledConnection used = connection;
         used.recordSent(sentAtNanos);
-        used.execute(attempt(), reply -> onReply(used, reply));
+        used.execute(
+                Attempt.of(engine, operation, context, placement, isPinned, remainingMillis()),
+                reply -> onReply(used, reply));
     }
 
-    private Attempt attempt() {
+    private int remainingMillis() {
         long remainingNanos = timeoutNanos - (sentAtNanos - startedAtNanos);
-        return new Attempt(
-                operation.id(),
-                operation.statement(),
-                operation.prepared(),
-                operation.prepared() == null ? null : engine.nameFor(operation.prepared()),
-                context.settings(),
-                isPinned ? null : placement.requiredPosition(),
-                operation.effect(),
-                placement.isPrimary() ? placement.group().term() : 0,
-                context.route().priority(),
-                (int) Math.max(1, remainingNanos / NANOS_PER_MILLI));
+        return (int) Math.max(1, remainingNanos / NANOS_PER_MILLI);
     }
 
     private void onReply(PooledConnection used, EndpointReply reply) {
@@ -379,18 +368,10 @@
         }
     }
 
-    /**
-     * Returns true when another attempt is this proxy's to make: a connection host retries what
-     * lacks capacity, and leaves the rest to the sender, which does not repeat what the host did.
-     */
     private boolean mayRetry(Reply reply) {
-        boolean lacksCapacity = reply == Reply.BUSY || reply == Reply.CONNECTIONS_EXHAUSTED;
-        if (fixedPlacement == null) {
-            boolean hostHasRetried = connection != null && connection.isRelayed() && lacksCapacity;
-            return !hostHasRetried || !operation.primaryOnly();
-        }
-        boolean hasOtherEndpoints = operation.effect() == Effect.SINGLE_READ && attempts > 1;
-        return lacksCapacity && !hasOtherEndpoints;
+        return fixedPlacement == null
+                ? RelayRules.mayRetryAtSender(operation, reply, !host.isEmpty())
+                : RelayRules.mayRetryAtHost(operation, reply, attempts);
     }
 
     private void resend() {
@@ -493,7 +474,7 @@
             return;
         }
         isTimedOut = nowNanos - startedAtNanos > timeoutNanos;
-        isRerouting = !isTimedOut && (isStuck(nowNanos) || hasFasterEndpoint(nowNanos));
+        isRerouting = !isTimedOut && (isStuck(nowNanos) || isOutrun(nowNanos));
         if (!isTimedOut && !isRerouting) {
             return;
         }
@@ -520,27 +501,11 @@
         return noLastingEffect && nowNanos - sentAtNanos > overdueNanos;
     }
 
-    /**
-     * Returns true when a read that waits at a connection host for long has another endpoint that
-     * is the better choice by now.
-     */
-    private boolean hasFasterEndpoint(long nowNanos) {
-        boolean canMove =
-                connection.isRelayed()
-                        && !isPinned
-                        && !operation.primaryOnly()
-                        && nowNanos - sentAtNanos > HOST_WAIT_NANOS;
-        if (!canMove) {
-            return false;
-        }
-        Set<EndpointId> others = new HashSet<>(excluded);
-        others.add(placement.pool().target().endpoint());
-        Placement best =
-                engine.selectPlacement(context.route(), false, context.lastCommit(), others);
-        return best != null
-                && best.pool() != placement.pool()
-                && best.pool().hasFreeConnection()
-                && !best.pool().health().isAvoided(nowNanos, SILENCE_LIMIT_NANOS);
+    private boolean isOutrun(long nowNanos) {
+        return connection.isRelayed()
+                && !isPinned
+                && RelayRules.isOutrun(
+                        engine, operation, context, placement, nowNanos - sentAtNanos);
     }
 
     /** Closes the connection; the endpoint rolls back the transaction open on it. */
