--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/SharedConnectionsProperties.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.chivevale.core.admission.DemandReport;
@@ -53,6 +54,7 @@
         final List<DemandReport> reports = new ArrayList<>();
         long epoch;
         boolean draining;
+        boolean relays = true;
 
         Proxy(String id) {
             this.id = id;
@@ -80,7 +82,7 @@
                     RenewRequest.newBuilder()
                             .setProxyId(id)
                             .setSharesEpoch(epoch)
-                            .setRelays(true)
+                            .setRelays(relays)
                             .setDraining(draining);
             if (epoch == 0) {
                 told.clear();
@@ -181,6 +183,46 @@
         proxies.set(number, new Proxy(old.id));
     }
 
+    private void renewAll(FleetShares shares, List<Proxy> proxies) {
+        for (int turn = 0; turn < 60; turn++) {
+            for (Proxy proxy : proxies) {
+                proxy.demand[0] = 3;
+                renew(shares, proxy, turn * STEP_NANOS, false);
+            }
+        }
+    }
+
+    @Example
+    void withoutABoundNoAnswerHasHosts() {
+        FleetShares shares = new FleetShares(7, 1, 0, 0);
+        List<Proxy> proxies = proxies();
+        renewAll(shares, proxies);
+        for (Proxy proxy : proxies) {
+            RenewAnswer.Builder answer = RenewAnswer.newBuilder();
+            shares.addHosts(proxy.request(0), membership, 60 * STEP_NANOS, answer);
+            assertEquals(RenewAnswer.getDefaultInstance(), answer.build());
+            assertEquals(ConnectionUse.OWN, proxy.use(0));
+            assertTrue(proxy.share[0] > 0, proxy.id + " has no connection");
+        }
+    }
+
+    /** Proxies for callers over HTTP do not relay, so they need connections of their own. */
+    @Example
+    void aProxyThatDoesNotRelayIsNoHostAndKeepsItsShare() {
+        FleetShares shares = new FleetShares(7, 1, SHARED_BELOW, 0);
+        List<Proxy> proxies = proxies();
+        Proxy other = proxies.get(0);
+        other.relays = false;
+        renewAll(shares, proxies);
+        assertTrue(other.share[0] > 0, "no connection");
+        assertEquals(ENDPOINTS, proxies.get(1).hosts.size());
+        for (EndpointHosts each : proxies.get(1).hosts.values()) {
+            assertTrue(
+                    each.getHostsList().stream()
+                            .noneMatch(host -> host.getProxyId().equals(other.id)));
+        }
+    }
+
     @Property(seed = "20261204", tries = 300)
     void theSharesStayWithinTheLimitWhileHostsChange(@ForAll long seed) {
         Random random = new Random(seed);
