--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -134,7 +134,9 @@
                         now);
         failureDetectors.clear();
         long startUnixMillis = System.currentTimeMillis();
-        shares = new FleetShares(startUnixMillis, settings.connectionFloor(), now);
+        shares =
+                new FleetShares(
+                        startUnixMillis, settings.connectionFloor(), settings.sharedBelow(), now);
         membership = new Membership(state.configuration(), startUnixMillis << 16);
         rates =
                 new RateOwners(
@@ -369,8 +371,9 @@
                         .setLeaseMillis(leaseNanos / NANOS_PER_MILLI)
                         .setProxyCount(proxyCount())
                         .addAllControlAddresses(log.memberAddresses())
-                        .setSharesEpoch(shares.epochFor(request))
-                        .addAllConnectionShares(shares.renew(request, membership, now));
+                        .setSharesEpoch(shares.epochFor(request));
+        shares.addHosts(request, membership, now, answer);
+        answer.addAllConnectionShares(shares.renew(request, membership, now));
         addConfiguration(answer, request.getConfigVersion());
         addMembers(answer, request);
         return answer.build();
--- a/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
@@ -176,6 +176,17 @@
         }
     }
 
+    /**
+     * Reads an address with a default.
+     *
+     * @param key dotted key
+     * @param fallback default when the key is missing
+     * @return the address
+     */
+    public HostPort address(String key, HostPort fallback) {
+        return value(key) == null ? fallback : address(key);
+    }
+
     /**
      * Reads a list of addresses.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -85,7 +85,8 @@
         boolean usable =
                 primary != null
                         && isPermitted(primary, allowedRegions(route, account))
-                        && (primary.pool().health().isFailing()
+                        && (primary.pool().isRelayed()
+                                || primary.pool().health().isFailing()
                                 || warmup.isUsable(
                                         primary.group().id(), endpoint(primary), statement));
         return usable ? primary : null;
@@ -140,11 +141,12 @@
         learnPosition(route, account, allowed);
         candidates.removeIf(candidate -> excluded.contains(endpoint(candidate.placement())));
         Placement best = choose(candidates);
-        if (best == null || warmup.isUsable(best.group().id(), endpoint(best), statement)) {
+        if (best == null || isUsable(best, statement)) {
             return best;
         }
         candidates.removeIf(candidate -> !isUsable(candidate.placement()));
-        return choose(candidates);
+        Placement warm = choose(candidates);
+        return warm == null && best.pool().isRelayed() ? best : warm;
     }
 
     /** Asks an excluded primary for its position before the last known one is too old. */
@@ -172,6 +174,13 @@
         return route.maxStalenessMillis() * NANOS_PER_MILLI - STALENESS_MARGIN_NANOS;
     }
 
+    /** Of a relayed endpoint, the connection host spends the tokens, so none is reserved here. */
+    private boolean isUsable(Placement placement, Object statement) {
+        return placement.pool().isRelayed()
+                ? isUsable(placement)
+                : warmup.isUsable(placement.group().id(), endpoint(placement), statement);
+    }
+
     private boolean isUsable(Placement placement) {
         return warmup.isUsable(placement.group().id(), endpoint(placement));
     }
@@ -224,11 +233,11 @@
         return new MemberView(
                 placement.isPrimary(),
                 distance(member),
-                pool.load(),
-                pool.share(),
+                pool.pendingRequests(),
+                pool.usableConnections(),
                 pool.health().responseMillis(),
                 fresh,
-                pool.share() == 0 || pool.health().isAvoided(nowNanos, SILENCE_NANOS));
+                pool.usableConnections() == 0 || pool.health().isAvoided(nowNanos, SILENCE_NANOS));
     }
 
     private int distance(EndpointMember member) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PositionProbe.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PositionProbe.java
@@ -3,11 +3,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
+import org.chivevale.core.interactive.Effect;
 import org.chivevale.core.interactive.Reply;
+import org.chivevale.core.interactive.Statement;
 import org.chivevale.database.session.EndpointReply;
+import org.chivevale.database.session.SessionConnection;
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.rate.WarmupGate;
@@ -26,6 +30,8 @@
     /** Time after which a probe without a reply is given up and its connection is closed. */
     private static final long TIMEOUT_NANOS = 1_000 * NANOS_PER_MILLI;
 
+    private static final int PRIORITY = 0;
+
     private final Directory directory;
     private final SessionPools pools;
     private final WarmupGate warmup;
@@ -63,12 +69,20 @@
         Probe probe = new Probe(primary, now);
         probes.put(primary.group().id(), probe);
         EndpointPool.Waiter waiter =
-                primary.pool().acquire(account, connection -> onConnected(probe, connection));
+                primary.pool()
+                        .acquire(
+                                request(account, now),
+                                connection -> onConnected(probe, connection));
         if (probe.connection == null && !probe.isEnded) {
             probe.waiter = waiter;
         }
     }
 
+    /** Returns a request that any connection host may relay, since a probe has no text. */
+    private static PoolRequest request(ClientAccountId account, long nowNanos) {
+        return new PoolRequest(account, PRIORITY, nowNanos + TIMEOUT_NANOS, AllowedRegions.ANY);
+    }
+
     private static boolean isDue(Probe last, long nowNanos) {
         long pauseNanos = last.isEnded ? INTERVAL_NANOS : TIMEOUT_NANOS;
         return nowNanos - last.startedAtNanos > pauseNanos;
@@ -96,14 +110,35 @@
         }
         probe.connection = connection;
         long sentAtNanos = EventLoop.nowNanos();
-        connection.pool().health().recordSent(sentAtNanos);
-        connection.reset(reply -> onReply(probe, reply, sentAtNanos));
+        connection.recordSent(sentAtNanos);
+        if (connection.isRelayed()) {
+            connection.execute(
+                    begin(probe.primary.group()), reply -> onReply(probe, reply, sentAtNanos));
+        } else {
+            connection.reset(reply -> onReply(probe, reply, sentAtNanos));
+        }
+    }
+
+    /** Returns a transaction that only begins: the answer has the position, and nothing runs. */
+    private static Attempt begin(Group group) {
+        return new Attempt(
+                SessionConnection.OWN_ID,
+                new Statement.Begin(true),
+                null,
+                null,
+                Map.of(),
+                null,
+                Effect.BEGIN,
+                group.term(),
+                PRIORITY,
+                (int) (TIMEOUT_NANOS / NANOS_PER_MILLI));
     }
 
     private boolean mayAsk(Probe probe) {
         EndpointId endpoint = probe.primary.pool().target().endpoint();
         return isStillPrimary(probe)
-                && warmup.tryAdmit(probe.primary.group().id(), endpoint, probe);
+                && (probe.primary.pool().isRelayed()
+                        || warmup.tryAdmit(probe.primary.group().id(), endpoint, probe));
     }
 
     private boolean isStillPrimary(Probe probe) {
@@ -118,8 +153,8 @@
     private void onReply(Probe probe, EndpointReply reply, long sentAtNanos) {
         probe.isEnded = true;
         EndpointPool pool = probe.primary.pool();
-        pool.health().recordEnded();
-        pool.recordReply(reply, sentAtNanos);
+        probe.connection.recordEnded();
+        probe.connection.recordReply(reply, sentAtNanos);
         if (reply.position() != null && isStillPrimary(probe)) {
             pools.samples(probe.primary.group().id()).add(sentAtNanos, reply.position());
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
@@ -141,6 +142,11 @@
         }
     }
 
+    /** Returns the regions whose processes may receive a statement's text. */
+    AllowedRegions allowedRegions(Route route, ClientAccountId account) {
+        return selector.allowedRegions(route, account);
+    }
+
     /** Returns the proxy's own name of a prepared statement, the same on all connections. */
     String nameFor(Prepared prepared) {
         if (names.size() >= MAX_NAMES) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -1,5 +1,6 @@
 package org.chivevale.proxy.internal.session;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,11 +18,18 @@
 import org.chivevale.database.MemberTarget;
 import org.chivevale.database.session.SessionConnector;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RenewalParticipant;
+import org.chivevale.proxy.internal.relay.FrameRelayTransport;
+import org.chivevale.proxy.internal.relay.KnownHosts;
+import org.chivevale.proxy.internal.relay.RelayHostAddress;
+import org.chivevale.proxy.internal.relay.RelayLinks;
 import org.chivevale.wire.proto.ConnectionDemand;
 import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.ConnectionUse;
 import org.chivevale.wire.proto.EndpointMember;
 import org.chivevale.wire.proto.HealthReport;
 import org.chivevale.wire.proto.RenewAnswer;
@@ -60,8 +68,13 @@
     private final Map<MemberTarget, EndpointPool> pools = new HashMap<>();
     private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
     private final Set<EndpointId> suspected = new HashSet<>();
+    private final KnownHosts hosts = new KnownHosts();
+    private final ProxySettings settings;
     private SessionConnector connector;
     private ControlLink link;
+    private RelayedConnection.Relay relay;
+    private ConnectionMeters meters;
+    private boolean isDraining;
     private long shareRequestedAtNanos;
 
     /** The leader's shares that the next demands are a difference to; 0 to list all demands. */
@@ -70,10 +83,15 @@
     /**
      * Creates the service.
      *
+     * @param settings the process's settings
      * @param directory configuration and members
      * @param connectors creates the connector of the event loop, which opens connections
      */
-    public SessionPools(Directory directory, Function<EventLoop, SessionConnector> connectors) {
+    public SessionPools(
+            ProxySettings settings,
+            Directory directory,
+            Function<EventLoop, SessionConnector> connectors) {
+        this.settings = settings;
         this.directory = directory;
         this.connectors = connectors;
     }
@@ -83,6 +101,13 @@
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
         link = kernel.find(ControlLink.NAME, ControlLink.class);
         connector = connectors.apply(loop);
+        MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
+        relay =
+                new RelayedConnection.Relay(
+                        new RelayLinks(new FrameRelayTransport(loop), EventLoop::nowNanos),
+                        registry,
+                        () -> requestShare(SHORTAGE_REQUEST_INTERVAL_NANOS));
+        meters = new ConnectionMeters(registry);
         loop.runAndWait(
                 () -> {
                     link.addRenewalParticipant(this);
@@ -99,7 +124,7 @@
         for (EndpointPool pool : List.copyOf(pools.values())) {
             pool.tick();
             isBusy |= pool.load() > 0 || pool.health().isFailing();
-            if (pool.load() > pool.share()) {
+            if (!pool.isRelayed() && pool.load() > pool.share()) {
                 requestShare(
                         pool.share() == 0
                                 ? SHARE_REQUEST_INTERVAL_NANOS
@@ -156,10 +181,113 @@
                 target,
                 key -> {
                     link.renewSoon();
-                    return new EndpointPool(key, connector, this::requestShare);
+                    EndpointPool pool =
+                            new EndpointPool(key, connector, this::requestShare, meters);
+                    updateRelay(pool);
+                    return pool;
                 });
     }
 
+    /**
+     * Finds the pool of an endpoint whose connections this proxy holds.
+     *
+     * @return null when the endpoint is unknown or other proxies hold its connections
+     */
+    EndpointPool findOwnPool(GroupId group, EndpointId endpoint) {
+        for (EndpointPool pool : pools.values()) {
+            boolean isWanted =
+                    pool.target().endpoint().equals(endpoint)
+                            && pool.target().group().equals(group);
+            if (isWanted) {
+                return pool.isRelayed() ? null : pool;
+            }
+        }
+        return null;
+    }
+
+    /** Tells control that this proxy takes no more statements of other proxies. */
+    void startDraining() {
+        isDraining = true;
+        link.renewSoon();
+    }
+
+    private void updateRelay(EndpointPool pool) {
+        List<RelayHostAddress> ofPool = hosts.of(pool.target());
+        boolean isRelayed = !ofPool.isEmpty() && !includesThisProxy(ofPool);
+        if (isRelayed) {
+            pool.relayThrough(
+                    request ->
+                            new RelayedConnection(
+                                    relay,
+                                    permittedHosts(request, pool.target(), ofPool),
+                                    pool.target(),
+                                    request.account()));
+        } else if (pool.isRelayed()) {
+            pool.relayThrough(null);
+        }
+    }
+
+    /**
+     * Ranks the hosts that may receive a statement's text: those in the endpoint's or this proxy's
+     * region, and those in other regions that route and account permit.
+     */
+    private List<RelayHostAddress> permittedHosts(
+            PoolRequest request, MemberTarget target, List<RelayHostAddress> candidates) {
+        Set<String> near = new HashSet<>(Set.of(settings.region()));
+        for (EndpointMember member : directory.members(target.group())) {
+            if (member.getEndpointId().equals(target.endpoint().value())) {
+                near.add(member.getRegion());
+            }
+        }
+        List<RelayHostAddress> permitted =
+                candidates.stream()
+                        .filter(
+                                host ->
+                                        near.contains(host.region())
+                                                || request.allowedRegions().permits(host.region()))
+                        .toList();
+        return relay.links().rank(request.account(), permitted);
+    }
+
+    private boolean includesThisProxy(List<RelayHostAddress> candidates) {
+        return candidates.stream()
+                .anyMatch(
+                        host ->
+                                host.proxyId().equals(settings.id())
+                                        && host.incarnation() == link.incarnation());
+    }
+
+    private ConnectionUse use(EndpointPool pool) {
+        if (pool.isRelayed()) {
+            return ConnectionUse.RELAYED;
+        }
+        return hosts.of(pool.target()).isEmpty() ? ConnectionUse.OWN : ConnectionUse.HOSTED;
+    }
+
+    /**
+     * Applies the hosts that a renewal brings; a pool whose use changes is reported again.
+     *
+     * @return true when a renewal should follow
+     */
+    private boolean updateHosts(RenewAnswer answer) {
+        Map<EndpointPool, ConnectionUse> before = new HashMap<>();
+        pools.values().forEach(pool -> before.put(pool, use(pool)));
+        if (!hosts.apply(answer)) {
+            return false;
+        }
+        relay.links().retain(hosts.addresses());
+        boolean isChanged = false;
+        for (EndpointPool pool : List.copyOf(pools.values())) {
+            updateRelay(pool);
+            if (before.get(pool) != use(pool)) {
+                LOG.infof("connections to %s: %s", pool.target().endpoint(), use(pool));
+                pool.resetDemandReport();
+                isChanged = true;
+            }
+        }
+        return isChanged;
+    }
+
     private void requestShare() {
         requestShare(SHARE_REQUEST_INTERVAL_NANOS);
     }
@@ -210,7 +338,8 @@
     @Override
     public void addTo(RenewRequest.Builder request) {
         long now = EventLoop.nowNanos();
-        request.setSharesEpoch(sharesEpoch);
+        request.setSharesEpoch(sharesEpoch).setDraining(isDraining);
+        hosts.addTo(request);
         for (EndpointPool pool : pools.values()) {
             int wanted = pool.takePeakDemand();
             int limit = pool.limitInForce();
@@ -220,6 +349,7 @@
                                 .setEndpointId(pool.target().endpoint().value())
                                 .setGroupId(pool.target().group().toString())
                                 .setWanted(wanted)
+                                .setUse(use(pool))
                                 .setLimitInForce(limit));
             }
         }
@@ -251,7 +381,7 @@
     public void onRenewed(RenewAnswer answer) {
         boolean differencesRejected = sharesEpoch != 0 && sharesEpoch != answer.getSharesEpoch();
         sharesEpoch = differencesRejected ? 0 : answer.getSharesEpoch();
-        boolean shareReduced = differencesRejected;
+        boolean shareReduced = differencesRejected | updateHosts(answer);
         Map<String, Integer> limits = new HashMap<>();
         for (ConnectionShare share : answer.getConnectionSharesList()) {
             limits.put(share.getGroupId() + "/" + share.getEndpointId(), share.getLimit());
@@ -271,5 +401,6 @@
     @Override
     public void stop() {
         pools.values().forEach(EndpointPool::close);
+        relay.links().shutDown();
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -100,6 +100,8 @@
      * @param connection the connection that is still in use; null when released or closed
      * @param placement where it ran last; null when no endpoint was selected
      * @param attempts how often it was sent
+     * @param queuedNanos how long it waited before it was first sent
+     * @param host the proxy over whose connections it was sent last; empty for this one
      */
     record Outcome(
             EndpointReply reply,
@@ -107,7 +109,9 @@
             String detail,
             PooledConnection connection,
             Placement placement,
-            int attempts) {}
+            int attempts,
+            long queuedNanos,
+            String host) {}
 
     private final SessionEngine engine;
     private final Operation operation;
@@ -118,6 +122,7 @@
     private final long startedAtNanos = EventLoop.nowNanos();
     private final long timeoutNanos;
     private final Set<EndpointId> excluded = new HashSet<>();
+    private Placement fixedPlacement;
     private Placement placement;
     private PooledConnection connection;
     private EndpointPool.Waiter waiter;
@@ -128,6 +133,8 @@
     private boolean isRerouting;
     private boolean isAwaitingToken;
     private long sentAtNanos;
+    private long queuedNanos;
+    private String host = "";
     private int attempts;
     private String lastDetail = "";
 
@@ -164,6 +171,23 @@
                 engine, operation, context, null, null, holdConnection, listener);
     }
 
+    /**
+     * Creates an execution at one endpoint, for another proxy, which decides on attempts elsewhere;
+     * only a lack of capacity is retried here.
+     */
+    static StatementExecution atEndpoint(
+            SessionEngine engine,
+            Operation operation,
+            SessionContext context,
+            Placement fixed,
+            boolean holdConnection,
+            Listener listener) {
+        StatementExecution execution =
+                onAnyEndpoint(engine, operation, context, holdConnection, listener);
+        execution.fixedPlacement = fixed;
+        return execution;
+    }
+
     /** Creates an execution on the connection of an open transaction, which stays in use. */
     static StatementExecution onConnection(
             SessionEngine engine,
@@ -187,18 +211,24 @@
 
     private void selectPlacement() {
         needsPlacement = true;
+        if (fixedPlacement != null && !engine.isCurrent(fixedPlacement)) {
+            fail(SessionError.NOT_PRIMARY, "the host has no lease or the primary was replaced");
+            return;
+        }
         if (!engine.isLeased()) {
             fail(SessionError.BUSY, "no lease from control");
             return;
         }
         placement =
-                engine.selectPlacement(
-                        context.route(),
-                        context.account(),
-                        operation.primaryOnly(),
-                        context.lastCommit(),
-                        excluded,
-                        this);
+                fixedPlacement != null
+                        ? fixedPlacement
+                        : engine.selectPlacement(
+                                context.route(),
+                                context.account(),
+                                operation.primaryOnly(),
+                                context.lastCommit(),
+                                excluded,
+                                this);
         if (placement == null) {
             String exclusion =
                     engine.findRegionExclusion(
@@ -230,12 +260,20 @@
     private void acquireConnection() {
         waiter = null;
         EndpointPool.Waiter requested =
-                placement.pool().acquire(context.account(), this::onConnectionReady);
+                placement.pool().acquire(poolRequest(), this::onConnectionReady);
         if (connection == null && !isFinished && !needsPlacement) {
             waiter = requested;
         }
     }
 
+    private PoolRequest poolRequest() {
+        return new PoolRequest(
+                context.account(),
+                context.route().priority(),
+                startedAtNanos + timeoutNanos,
+                engine.allowedRegions(context.route(), context.account()));
+    }
+
     private void onConnectionReady(PooledConnection ready) {
         waiter = null;
         if (isFinished) {
@@ -244,6 +282,10 @@
             }
             return;
         }
+        if (ready == null && fixedPlacement != null) {
+            fail(SessionError.NOT_PRIMARY, "the endpoint has left");
+            return;
+        }
         if (ready == null) {
             lastDetail = "the endpoint has left";
             retryElsewhere();
@@ -279,32 +321,34 @@
             return;
         }
         attempts++;
-        connection.applySettings(context.settings());
-        Statement statement = operation.statement();
-        if (operation.prepared() != null && statement instanceof Statement.Execute execute) {
-            String name = engine.nameFor(operation.prepared());
-            connection.ensurePrepared(operation.prepared(), name);
-            statement = new Statement.Execute(name, execute.arguments());
-        }
         isInFlight = true;
         isRerouting = false;
         sentAtNanos = EventLoop.nowNanos();
+        if (attempts == 1) {
+            queuedNanos = sentAtNanos - startedAtNanos;
+        }
         PooledConnection used = connection;
-        used.pool().health().recordSent(sentAtNanos);
-        TermPosition requiredPosition = isPinned ? null : placement.requiredPosition();
-        used.connection()
-                .execute(
-                        operation.id(), statement, requiredPosition, reply -> onReply(used, reply));
+        used.recordSent(sentAtNanos);
+        used.execute(
+                Attempt.of(engine, operation, context, placement, isPinned, remainingMillis()),
+                reply -> onReply(used, reply));
+    }
+
+    private int remainingMillis() {
+        long remainingNanos = timeoutNanos - (sentAtNanos - startedAtNanos);
+        return (int) Math.max(1, remainingNanos / NANOS_PER_MILLI);
     }
 
     /**
      * Returns true when the statement has to wait for a warm-up token. It is spent once the
-     * connection is open, so that the statement leaves at once; a failed connection needs none.
+     * connection is open, so that the statement leaves at once; a failed connection needs none, and
+     * for a relayed one the connection host spends it.
      */
     private boolean isHeldBack() {
         PooledConnection used = connection;
         isAwaitingToken = false;
-        if (!used.connection().usable() || !engine.needsToken(placement)) {
+        boolean isExempt = used.isRelayed() || !used.connection().usable();
+        if (isExempt || !engine.needsToken(placement)) {
             return false;
         }
         if (!used.connection().isOpen()) {
@@ -353,14 +397,15 @@
     }
 
     private void onReply(PooledConnection used, EndpointReply reply) {
-        used.pool().health().recordEnded();
+        used.recordEnded();
         engine.recordAttempt(used, reply);
+        host = used.hostId();
         if (isFinished) {
             return;
         }
         isInFlight = false;
         if (!isRerouting) {
-            used.pool().recordReply(reply, sentAtNanos);
+            used.recordReply(reply, sentAtNanos);
         }
         engine.recordPosition(placement, reply, sentAtNanos);
         EndpointReply effective = asLostIfReplaced(reply);
@@ -390,7 +435,7 @@
         switch (decision.step()) {
             case DELIVER -> finish(reply, null);
             case RETRY_ELSEWHERE -> {
-                if (retriesExhausted) {
+                if (retriesExhausted || !mayRetry(reply.reply())) {
                     releaseConnection(true);
                     finish(reply, decision.error());
                 } else {
@@ -418,6 +463,12 @@
         }
     }
 
+    private boolean mayRetry(Reply reply) {
+        return fixedPlacement == null
+                ? RelayRules.mayRetryAtSender(operation, reply, !host.isEmpty())
+                : RelayRules.mayRetryAtHost(operation, reply, attempts);
+    }
+
     private void resend() {
         if (!isFinished) {
             send();
@@ -436,7 +487,11 @@
     private void retryElsewhere() {
         placement = null;
         needsPlacement = true;
-        boolean retryAtOnce = !operation.primaryOnly() && !excluded.isEmpty() && attempts < 3;
+        boolean retryAtOnce =
+                fixedPlacement == null
+                        && !operation.primaryOnly()
+                        && !excluded.isEmpty()
+                        && attempts < 3;
         if (retryAtOnce) {
             selectPlacement();
         } else {
@@ -481,7 +536,7 @@
             }
         } else if (isWaitingForEndpoint()) {
             resume();
-        } else if (waiter != null && !operation.primaryOnly()) {
+        } else if (waiter != null && !operation.primaryOnly() && fixedPlacement == null) {
             moveToFreeEndpoint();
         }
     }
@@ -507,13 +562,20 @@
         }
     }
 
+    /** Ends the execution unless its statement is in flight, as when its sender has given up. */
+    void cancelUnlessSent() {
+        if (!isFinished && !isInFlight) {
+            fail(SessionError.BUSY, "given up by the sender");
+        }
+    }
+
     private void checkReply(long nowNanos) {
         if (engine.isReplaced(placement)) {
             connection.connection().close();
             return;
         }
         isTimedOut = nowNanos - startedAtNanos > timeoutNanos;
-        isRerouting = !isTimedOut && isStuck(nowNanos);
+        isRerouting = !isTimedOut && (isStuck(nowNanos) || isOutrun(nowNanos));
         if (!isTimedOut && !isRerouting) {
             return;
         }
@@ -534,9 +596,19 @@
                         || operation.effect() == Effect.IN_TRANSACTION;
         long averageNanos = (long) (connection.pool().health().responseMillis() * NANOS_PER_MILLI);
         long overdueNanos = Math.max(SILENCE_LIMIT_NANOS, OVERDUE_FACTOR * averageNanos);
+        if (connection.isHostResponsive(SILENCE_LIMIT_NANOS)) {
+            return false;
+        }
         return noLastingEffect && nowNanos - sentAtNanos > overdueNanos;
     }
 
+    private boolean isOutrun(long nowNanos) {
+        return connection.isRelayed()
+                && !isPinned
+                && RelayRules.isOutrun(
+                        engine, operation, context, placement, nowNanos - sentAtNanos);
+    }
+
     /** Closes the connection; the endpoint rolls back the transaction open on it. */
     private void closeConnection() {
         if (connection != null) {
@@ -570,6 +642,15 @@
         if (!holdsConnection || error != null && !isPinned) {
             releaseConnection(true);
         }
-        listener.onComplete(new Outcome(reply, error, lastDetail, connection, placement, attempts));
+        listener.onComplete(
+                new Outcome(
+                        reply,
+                        error,
+                        lastDetail,
+                        connection,
+                        placement,
+                        attempts,
+                        queuedNanos,
+                        host));
     }
 }
