Ping silent connection hosts while statements wait there

A frozen host was avoided only after a statement had timed out, and reads in a long queue were taken for stuck.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
@@ -27,9 +27,15 @@
     /** How long a host is avoided that closed its link, cannot be reached or stays silent. */
     private static final long AVOID_NANOS = 1_000 * NANOS_PER_MILLI;
 
-    /** A host that sends no frame for this long while a statement exceeds its limits is silent. */
+    /** A host that sends no frame for this long while a statement waits there is silent. */
     private static final long SILENCE_NANOS = 400 * NANOS_PER_MILLI;
 
+    /** Silence after which the host is asked for a sign of life, while a statement waits there. */
+    private static final long PING_NANOS = 150 * NANOS_PER_MILLI;
+
+    /** Correlation id of a ping, above those of all requests. */
+    private static final long PING_ID = Long.MAX_VALUE;
+
     private static final int MAX_PENDING = 400;
 
     private final HostPort address;
@@ -43,6 +49,7 @@
     private int openTransactions;
     private long generation;
     private long lastFrameNanos;
+    private long lastPingNanos;
     private long avoidUntilNanos;
 
     private static final class Pending {
@@ -163,6 +170,30 @@
         failAll();
     }
 
+    /**
+     * Looks for a silent host while statements wait there. A host that only has a long queue
+     * answers pings, so it is not mistaken for a frozen one.
+     */
+    void tick() {
+        if (pending.isEmpty() || channel == null || !channel.isOpen()) {
+            return;
+        }
+        long now = clock.getAsLong();
+        long silenceNanos = silenceNanos(pending.values().iterator().next().writtenAtNanos);
+        if (silenceNanos > PING_NANOS && now - lastPingNanos > PING_NANOS) {
+            lastPingNanos = now;
+            channel.send(
+                    Frame.newBuilder()
+                            .setCorrelationId(PING_ID)
+                            .setRelayRequest(RelayRequest.newBuilder().setClose(true))
+                            .build());
+        }
+        if (silenceNanos > SILENCE_NANOS && isUsable()) {
+            LOG.warnf("connection host %s is silent", address);
+            avoid();
+        }
+    }
+
     private void failAll() {
         List<Pending> failed = new ArrayList<>(pending.values());
         pending.clear();
@@ -202,7 +233,7 @@
         if (!abandoned.isWritten) {
             return RelayOutcome.NOT_SENT;
         }
-        if (silenceNanos(abandoned.writtenAtNanos) > SILENCE_NANOS) {
+        if (silenceNanos(abandoned.writtenAtNanos) > SILENCE_NANOS && isUsable()) {
             LOG.warnf("connection host %s is silent", address);
             avoid();
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLinks.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLinks.java
@@ -169,6 +169,11 @@
         return link(host).silenceNanos(sinceNanos);
     }
 
+    /** Looks for silent hosts. */
+    public void tick() {
+        links.values().forEach(RelayLink::tick);
+    }
+
     /**
      * Closes links that no endpoint, statement or transaction needs.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
@@ -85,10 +85,18 @@
         this.answers = answers;
     }
 
-    /** Handles a request; {@code isDraining} rejects what would begin here. */
+    /**
+     * Handles a request; {@code isDraining} rejects what would begin here. A closing message with a
+     * correlation id is a ping, which is answered at once.
+     */
     void receive(long correlationId, RelayRequest request, boolean isDraining) {
         if (request.getClose()) {
             end(request);
+            if (correlationId != 0) {
+                answers.accept(
+                        correlationId,
+                        RelayAnswer.newBuilder().setReply(RelayReply.SUCCESS).build());
+            }
             return;
         }
         Effect effect = RelayCodec.decode(request.getEffect());
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -123,7 +123,7 @@
         boolean isBusy = false;
         for (EndpointPool pool : List.copyOf(pools.values())) {
             pool.tick();
-            isBusy |= pool.load() > 0 || pool.health().isFailing();
+            isBusy |= pool.pendingRequests() > 0 || pool.health().isFailing();
             if (!pool.isRelayed() && pool.load() > pool.share()) {
                 requestShare(
                         pool.share() == 0
@@ -132,6 +132,7 @@
             }
         }
         updateSuspects();
+        relay.links().tick();
         return isBusy ? TICK_MILLIS : EventLoop.LONGEST_PAUSE_MILLIS;
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/relay/RelayLinksTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/relay/RelayLinksTest.java
@@ -127,6 +127,24 @@
         assertTrue(links.isUsable(host));
     }
 
+    @Test
+    void aFrozenHostIsAvoidedBeforeItsStatementsTimeOut() {
+        FakeChannel opened = open();
+        send(REQUEST);
+        nowNanos += 200 * MILLI;
+        links.tick();
+        long ping = opened.sent.get(opened.sent.size() - 1).getCorrelationId();
+        assertTrue(opened.sent.get(opened.sent.size() - 1).getRelayRequest().getClose());
+        opened.answer(ping, reply(RelayReply.SUCCESS));
+        nowNanos += 350 * MILLI;
+        links.tick();
+        assertTrue(links.isUsable(host), "it has answered a ping");
+        nowNanos += 100 * MILLI;
+        links.tick();
+        assertFalse(links.isUsable(host));
+        assertEquals(List.of(), kinds());
+    }
+
     @Test
     void anAbandonedRequestThatWasNeverWrittenHasNotRun() {
         long id = send(REQUEST);
