Serve a pool's waiters in the order of AdmissionQueue

The session path queues by priority, account and deadline, rejects what cannot be served in its time, and drops statements whose caller has left or whose time has passed. RateLimiter delivers outcomes after iterating: RateLimiterTest failed with ConcurrentModificationException before.

--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/FairShares.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/FairShares.java
@@ -20,20 +20,20 @@
     private static final long SECOND_NANOS = 1_000_000_000;
 
     /** Long enough for some requests of a large account, short against the span of a surge. */
-    static final long WINDOW_NANOS = SECOND_NANOS / 2;
+    static final long WINDOW_NANOS = SECOND_NANOS;
 
     private static final long USUAL_WINDOW_NANOS = 60 * SECOND_NANOS;
 
     /** Multiple of the usual rate, and a number of requests, by which a steady rate varies. */
     private static final double USUAL_FACTOR = 1.5;
 
-    private static final double USUAL_VARIATION = 3;
+    private static final double USUAL_VARIATION = 2;
 
     /**
      * The part of the capacity that is divided up. With all of it, the requests within their shares
      * would load the slots fully, and the wait of the least urgent ones would grow without bound.
      */
-    private static final double DIVIDED_PART = 0.85;
+    private static final double DIVIDED_PART = 0.75;
 
     private static final long UPDATE_INTERVAL_NANOS = 20_000_000;
 
@@ -117,13 +117,16 @@
         return history == null ? 0 : history.lastTurn;
     }
 
-    /** Recalculates the fair share, unless that was done just before. */
+    /**
+     * Recalculates the fair share, unless that was done just before. Without capacity, as before
+     * the first lease of connections, what fits is not known and the share stays.
+     */
     void update(long nowNanos, int capacity, long slotNanos) {
         if (!isStarted) {
             isStarted = true;
             updatedNanos = nowNanos;
         }
-        if (nowNanos - updatedNanos < UPDATE_INTERVAL_NANOS) {
+        if (capacity <= 0 || nowNanos - updatedNanos < UPDATE_INTERVAL_NANOS) {
             return;
         }
         if (limit == Double.MAX_VALUE) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -16,6 +16,7 @@
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
 import org.chivevale.proxy.ProxySettings;
+import org.chivevale.proxy.internal.rate.RateRequests;
 import org.chivevale.wire.FrameClient;
 import org.chivevale.wire.FrameConnection;
 import org.chivevale.wire.FrameListener;
@@ -32,7 +33,7 @@
  * <p>Invariants: one renewal is in flight at a time; after a control process has not responded, or
  * is not the leader, the next address is tried. Used on the event loop.
  */
-public final class ControlLink implements Service {
+public final class ControlLink implements Service, RateRequests {
     /** Name in the kernel. */
     public static final String NAME = "control-link";
 
@@ -359,6 +360,7 @@
      *
      * @return false while a request is in flight or there is no connection
      */
+    @Override
     public boolean canRequestRates() {
         return rateCallback == null && connection != null;
     }
@@ -369,6 +371,7 @@
      * @param request the tokens wanted and returned
      * @param onAnswer receives the response; one without grants after a timeout
      */
+    @Override
     public void requestRates(RateRequest.Builder request, Consumer<RateAnswer> onAnswer) {
         rateCorrelation++;
         rateSentAtNanos = EventLoop.nowNanos();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
@@ -7,9 +7,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Account;
 import org.chivevale.core.errors.ChivevaleException;
@@ -54,8 +54,15 @@
     private final ProxySettings settings;
     private final Directory directory;
     private final Map<ClientAccountId, AccountLimiter> limiters = new HashMap<>();
-    private EventLoop loop;
-    private ControlLink link;
+    private RateRequests link;
+    private Consumer<Runnable> runAfterTick;
+
+    /**
+     * Outcomes of waiters, delivered once no collection is being iterated over: a caller that is
+     * told one may send its next request at once.
+     */
+    private final Deque<Runnable> outcomes = new ArrayDeque<>();
+
     private boolean isTickScheduled;
     private Counter requests;
     private Counter rejections;
@@ -91,13 +98,21 @@
 
     @Override
     public void start(Kernel kernel) {
-        loop = kernel.find(EventLoop.NAME, EventLoop.class);
-        link = kernel.find(ControlLink.NAME, ControlLink.class);
-        MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
+        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        start(
+                kernel.find(ControlLink.NAME, ControlLink.class),
+                kernel.find(Metrics.NAME, Metrics.class).registry(),
+                tick -> loop.vertx().setTimer(WAITING_TICK_MILLIS, ignored -> tick.run()));
+        loop.every(RETURN_TICK_MILLIS, this::requestTokens);
+    }
+
+    /** Starts without an event loop; the scheduler runs an action once after a short time. */
+    void start(RateRequests owner, MeterRegistry registry, Consumer<Runnable> scheduler) {
+        link = owner;
+        runAfterTick = scheduler;
         requests = registry.counter("chivevale.proxy.rate.requests");
         rejections = registry.counter("chivevale.proxy.rate.refused");
         lastReturnNanos = EventLoop.nowNanos();
-        loop.every(RETURN_TICK_MILLIS, this::requestTokens);
     }
 
     /** Checks waiting requests periodically, as long as there are any. */
@@ -106,19 +121,17 @@
             return;
         }
         isTickScheduled = true;
-        loop.vertx()
-                .setTimer(
-                        WAITING_TICK_MILLIS,
-                        ignored -> {
-                            isTickScheduled = false;
-                            tick();
-                            boolean waiting =
-                                    limiters.values().stream()
-                                            .anyMatch(limiter -> !limiter.waiters.isEmpty());
-                            if (waiting) {
-                                scheduleTick();
-                            }
-                        });
+        runAfterTick.accept(
+                () -> {
+                    isTickScheduled = false;
+                    tick();
+                    boolean waiting =
+                            limiters.values().stream()
+                                    .anyMatch(limiter -> !limiter.waiters.isEmpty());
+                    if (waiting) {
+                        scheduleTick();
+                    }
+                });
     }
 
     /**
@@ -176,9 +189,16 @@
             limiters.forEach((account, limiter) -> admitFromFallback(account, limiter, now));
         }
         limiters.forEach((account, limiter) -> expireWaiters(account, limiter, now));
+        deliverOutcomes();
         requestTokens();
     }
 
+    private void deliverOutcomes() {
+        while (!outcomes.isEmpty()) {
+            outcomes.removeFirst().run();
+        }
+    }
+
     /** Admits waiters from a part of this proxy's even share while the owner does not respond. */
     private void admitFromFallback(ClientAccountId account, AccountLimiter limiter, long nowNanos) {
         Account configured = directory.configuration().account(account);
@@ -188,7 +208,7 @@
         int proxies = directory.proxyCount();
         while (!limiter.waiters.isEmpty()
                 && limiter.fallback.tryTake(configured.ratePerSecond(), proxies, nowNanos)) {
-            limiter.waiters.removeFirst().promise().complete();
+            outcomes.addLast(limiter.waiters.removeFirst().promise()::complete);
         }
     }
 
@@ -198,14 +218,15 @@
             boolean isExceeded = limiter.isExhausted && nowNanos - first.waitEndNanos() >= 0;
             if (isExceeded) {
                 limiter.waiters.removeFirst();
-                first.promise().fail(rateExceeded(account, limiter, nowNanos));
+                ChivevaleException failure = rateExceeded(account, limiter, nowNanos);
+                outcomes.addLast(() -> first.promise().fail(failure));
             } else if (nowNanos - first.deadlineNanos() >= 0) {
                 limiter.waiters.removeFirst();
-                first.promise()
-                        .fail(
-                                new ChivevaleException(
-                                        ResultCode.RATE_OWNER_MISSING,
-                                        "no answer on the rate of client account " + account));
+                ChivevaleException failure =
+                        new ChivevaleException(
+                                ResultCode.RATE_OWNER_MISSING,
+                                "no answer on the rate of client account " + account);
+                outcomes.addLast(() -> first.promise().fail(failure));
             } else {
                 return;
             }
@@ -274,6 +295,7 @@
                 expireWaiters(account, limiter, now);
             }
         }
+        deliverOutcomes();
         requestTokens();
     }
 
@@ -291,14 +313,8 @@
                 grant.getGrantId(),
                 grant.getTokens(),
                 sentAtNanos + grant.getValidMillis() * NANOS_PER_MILLI);
-        Iterator<Waiter> waiters = limiter.waiters.iterator();
-        while (waiters.hasNext()) {
-            Waiter waiter = waiters.next();
-            if (!limiter.share.tryTake(nowNanos)) {
-                return;
-            }
-            waiters.remove();
-            waiter.promise().complete();
+        while (!limiter.waiters.isEmpty() && limiter.share.tryTake(nowNanos)) {
+            outcomes.addLast(limiter.waiters.removeFirst().promise()::complete);
         }
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -7,9 +7,14 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionQueue;
+import org.chivevale.core.admission.AdmissionRequest;
 import org.chivevale.core.admission.DemandReport;
+import org.chivevale.core.admission.Rejection;
+import org.chivevale.core.admission.Ticket;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.Reply;
 import org.chivevale.database.MemberTarget;
@@ -21,14 +26,12 @@
  * The connection pool of this proxy for one endpoint, with its queue of waiters.
  *
  * <p>Invariants: no connection is opened above the leased share; a connection belongs to one client
- * account, so an idle one of another account is closed to make room; waiters are served in order,
- * but for {@link #OWN_ACCOUNT_PRIORITY_NANOS} a waiter whose account has an idle connection goes
- * first, since opening a new connection costs the endpoint a slot. Used on the event loop.
+ * account, so an idle one of another account is closed to make room; waiters are served in the
+ * order of {@link AdmissionQueue}, and one whose deadline has passed gets no connection. Used on
+ * the event loop.
  */
 final class EndpointPool {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long OWN_ACCOUNT_PRIORITY_NANOS = 250 * NANOS_PER_MILLI;
-    private static final int OWN_ACCOUNT_LOOKAHEAD = 64;
     private static final long RECONNECT_DELAY_NANOS = 50 * NANOS_PER_MILLI;
     private static final int MAX_WAITERS = 400;
 
@@ -39,26 +42,24 @@
     private final EndpointHealth health = new EndpointHealth(EventLoop.nowNanos());
     private final Set<PooledConnection> open = new HashSet<>();
     private final Deque<PooledConnection> idle = new ArrayDeque<>();
-    private final Deque<Waiter> waiters = new ArrayDeque<>();
+    private final AdmissionQueue<Consumer<PooledConnection>> waiters =
+            new AdmissionQueue<>(MAX_WAITERS);
+    private final AdmissionMetrics metrics;
     private long connectAfterNanos;
     private int share;
     private int peakDemand;
+    private boolean isServing;
     private boolean isClosed;
 
-    /**
-     * A queued request for a connection.
-     *
-     * @param account the client account that the connection must belong to
-     * @param queuedAtNanos when it was queued, on the monotonic clock
-     * @param callback receives the connection, or null when there will be none
-     */
-    record Waiter(
-            ClientAccountId account, long queuedAtNanos, Consumer<PooledConnection> callback) {}
-
-    EndpointPool(MemberTarget target, SessionConnector connector, Runnable requestShare) {
+    EndpointPool(
+            MemberTarget target,
+            SessionConnector connector,
+            Runnable requestShare,
+            AdmissionMetrics metrics) {
         this.target = target;
         this.connector = connector;
         this.requestShare = requestShare;
+        this.metrics = metrics;
         this.connectAfterNanos = EventLoop.nowNanos();
     }
 
@@ -74,34 +75,60 @@
         return health;
     }
 
-    /** Requests a connection; the returned waiter can be cancelled until it is served. */
-    Waiter acquire(ClientAccountId account, Consumer<PooledConnection> callback) {
+    /** Returns why a request must not wait here, or null when it may. */
+    Rejection rejectionFor(AdmissionRequest request) {
         long now = EventLoop.nowNanos();
-        Waiter waiter = new Waiter(account, now, callback);
-        if (waiters.isEmpty()) {
-            PooledConnection connection = takeOrOpen(account);
+        expireWaiters(now);
+        Rejection rejection = waiters.check(request, now, usage());
+        if (rejection != null) {
+            waiters.recordArrival(request, now, share);
+            metrics.recordRejection(rejection.reason());
+        }
+        return rejection;
+    }
+
+    /**
+     * Requests a connection; the returned ticket can be cancelled until it is served. The callback
+     * receives the connection, or null when there will be none; the ticket is null if it has done
+     * so already.
+     */
+    Ticket<Consumer<PooledConnection>> acquire(
+            AdmissionRequest request, Consumer<PooledConnection> callback) {
+        long now = EventLoop.nowNanos();
+        waiters.recordArrival(request, now, share);
+        if (waiters.size() == 0) {
+            PooledConnection connection = takeOrOpen(request.account());
             if (connection != null) {
                 recordDemand();
+                waiters.recordServed(request, now);
                 callback.accept(connection);
-                return waiter;
+                return null;
             }
         }
-        if (isClosed || isFull()) {
+        Ticket<Consumer<PooledConnection>> displaced = waiters.displaceFor(request, now);
+        if (isClosed || waiters.isFull()) {
             callback.accept(null);
-            return waiter;
+            return null;
         }
-        waiters.addLast(waiter);
+        Ticket<Consumer<PooledConnection>> ticket = waiters.add(callback, request, now, usage());
         recordDemand();
-        return waiter;
+        if (displaced != null) {
+            metrics.recordRejection(Rejection.Reason.DISPLACED);
+            displaced.item().accept(null);
+        }
+        return ticket;
     }
 
-    /** Returns true when no further request may wait. */
-    boolean isFull() {
-        return waiters.size() >= MAX_WAITERS;
+    private PoolUsage usage() {
+        return new PoolUsage(open, idle, share);
     }
 
-    void cancel(Waiter waiter) {
-        waiters.remove(waiter);
+    void cancel(Ticket<Consumer<PooledConnection>> ticket) {
+        waiters.remove(ticket);
+    }
+
+    SortedMap<Integer, Integer> waitingByPriority() {
+        return waiters.sizes();
     }
 
     private void recordDemand() {
@@ -122,13 +149,7 @@
 
     /** Returns true when a new request would not have to wait for a connection. */
     boolean hasFreeConnection() {
-        return !isClosed && waiters.isEmpty() && inUse() < share;
-    }
-
-    /** Returns true when the queue is so long that a new waiter would exceed its maximum wait. */
-    boolean isOverloaded(long maxWaitNanos) {
-        double rounds = (double) waiters.size() / Math.max(1, share);
-        return rounds * health.responseMillis() * NANOS_PER_MILLI > maxWaitNanos;
+        return !isClosed && waiters.size() == 0 && inUse() < share;
     }
 
     /**
@@ -223,37 +244,42 @@
         serveWaiters();
     }
 
+    /** Serves waiters; a call from a callback of this one leaves them to the loop in progress. */
     private void serveWaiters() {
-        while (!waiters.isEmpty()) {
-            Waiter next = nextWaiter();
-            PooledConnection connection = takeOrOpen(next.account());
-            if (connection == null) {
-                return;
+        if (isServing || waiters.size() == 0) {
+            return;
+        }
+        isServing = true;
+        try {
+            boolean served = true;
+            while (served && waiters.size() > 0) {
+                served = serveNext(EventLoop.nowNanos());
             }
-            waiters.remove(next);
-            next.callback().accept(connection);
+        } finally {
+            isServing = false;
         }
     }
 
-    private Waiter nextWaiter() {
-        Waiter first = waiters.peekFirst();
-        boolean mayWait = EventLoop.nowNanos() - first.queuedAtNanos() < OWN_ACCOUNT_PRIORITY_NANOS;
-        if (!mayWait || idle.isEmpty()) {
-            return first;
+    private boolean serveNext(long nowNanos) {
+        expireWaiters(nowNanos);
+        Ticket<Consumer<PooledConnection>> next = waiters.next(nowNanos, usage());
+        if (next == null) {
+            return false;
         }
-        int examined = 0;
-        for (Waiter waiter : waiters) {
-            for (PooledConnection connection : idle) {
-                if (connection.account().equals(waiter.account())) {
-                    return waiter;
-                }
-            }
-            examined++;
-            if (examined == OWN_ACCOUNT_LOOKAHEAD) {
-                break;
-            }
+        PooledConnection connection = takeOrOpen(next.request().account());
+        if (connection == null) {
+            return false;
+        }
+        waiters.take(next, nowNanos, share);
+        next.item().accept(connection);
+        return true;
+    }
+
+    private void expireWaiters(long nowNanos) {
+        for (Ticket<Consumer<PooledConnection>> expired : waiters.expire(nowNanos)) {
+            metrics.recordRejection(Rejection.Reason.EXPIRED);
+            expired.item().accept(null);
         }
-        return first;
     }
 
     /**
@@ -272,6 +298,7 @@
     }
 
     void tick() {
+        expireWaiters(EventLoop.nowNanos());
         serveWaiters();
     }
 
@@ -304,9 +331,7 @@
         List<PooledConnection> unused = new ArrayList<>(idle);
         idle.clear();
         unused.forEach(this::closeConnection);
-        List<Waiter> waiting = new ArrayList<>(waiters);
-        waiters.clear();
-        waiting.forEach(waiter -> waiter.callback().accept(null));
+        waiters.clear().forEach(ticket -> ticket.item().accept(null));
     }
 
     TermPosition position() {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
@@ -17,6 +19,7 @@
 import org.chivevale.database.MemberTarget;
 import org.chivevale.database.session.SessionConnector;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
 import org.chivevale.proxy.internal.fleet.ControlLink;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RenewalParticipant;
@@ -62,6 +65,7 @@
     private final Set<EndpointId> suspected = new HashSet<>();
     private SessionConnector connector;
     private ControlLink link;
+    private AdmissionMetrics admissionMetrics;
     private long shareRequestedAtNanos;
 
     /** The leader's shares that the next demands are a difference to; 0 to list all demands. */
@@ -83,6 +87,8 @@
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
         link = kernel.find(ControlLink.NAME, ControlLink.class);
         connector = connectors.apply(loop);
+        admissionMetrics =
+                new AdmissionMetrics(kernel.find(Metrics.NAME, Metrics.class).registry());
         loop.runAndWait(
                 () -> {
                     link.addRenewalParticipant(this);
@@ -96,8 +102,11 @@
      */
     private long tick() {
         boolean isBusy = false;
+        SortedMap<Integer, Integer> waiting = new TreeMap<>();
         for (EndpointPool pool : List.copyOf(pools.values())) {
             pool.tick();
+            pool.waitingByPriority()
+                    .forEach((priority, length) -> waiting.merge(priority, length, Integer::sum));
             isBusy |= pool.load() > 0 || pool.health().isFailing();
             if (pool.load() > pool.share()) {
                 requestShare(
@@ -106,6 +115,7 @@
                                 : SHORTAGE_REQUEST_INTERVAL_NANOS);
             }
         }
+        admissionMetrics.setLengths(waiting);
         updateSuspects();
         return isBusy ? TICK_MILLIS : EventLoop.LONGEST_PAUSE_MILLIS;
     }
@@ -156,7 +166,7 @@
                 target,
                 key -> {
                     link.renewSoon();
-                    return new EndpointPool(key, connector, this::requestShare);
+                    return new EndpointPool(key, connector, this::requestShare, admissionMetrics);
                 });
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionState.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionState.java
@@ -14,6 +14,16 @@
     private final Map<String, String> settings = new HashMap<>();
     private final Map<String, Prepared> prepared = new HashMap<>();
     private TermPosition lastCommit = TermPosition.NONE;
+    private boolean callerHasLeft;
+
+    /** Records that no result can be delivered to the caller any more. */
+    public void markCallerLeft() {
+        callerHasLeft = true;
+    }
+
+    boolean callerHasLeft() {
+        return callerHasLeft;
+    }
 
     /**
      * Sets a session setting.
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -3,7 +3,12 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionRequest;
+import org.chivevale.core.admission.Rejection;
+import org.chivevale.core.admission.Ticket;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -41,6 +46,9 @@
     /** A primary that has been silent for less than this counts as responsive. */
     private static final long RESPONSIVE_SILENCE_NANOS = 200 * NANOS_PER_MILLI;
 
+    /** Time for which opening a connection occupies a slot of the endpoint. */
+    private static final long OPENING_MILLIS = 12;
+
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
 
@@ -67,12 +75,14 @@
      * @param route the route from the caller's database name to a database
      * @param settings the session's settings by name
      * @param lastCommit the position of the session's last commit
+     * @param callerHasLeft tells whether nobody waits for the outcome any more
      */
     record SessionContext(
             ClientAccountId account,
             Route route,
             Map<String, String> settings,
-            TermPosition lastCommit) {}
+            TermPosition lastCommit,
+            BooleanSupplier callerHasLeft) {}
 
     /** Receives the outcome of a statement. */
     interface Listener {
@@ -113,12 +123,13 @@
     private final Set<EndpointId> excluded = new HashSet<>();
     private Placement placement;
     private PooledConnection connection;
-    private EndpointPool.Waiter waiter;
+    private Ticket<Consumer<PooledConnection>> waiter;
     private boolean needsPlacement;
     private boolean isInFlight;
     private boolean isTimedOut;
     private boolean isFinished;
     private boolean isRerouting;
+    private boolean isAbandoned;
     private long sentAtNanos;
     private int attempts;
     private String lastDetail = "";
@@ -194,19 +205,25 @@
             return;
         }
         needsPlacement = false;
-        if (placement.pool().isFull() || placement.pool().isOverloaded(timeoutNanos)) {
-            fail(SessionError.BUSY, "too many requests wait");
+        Rejection rejection = placement.pool().rejectionFor(admissionRequest());
+        if (rejection != null) {
+            fail(SessionError.BUSY, rejection.reason().text());
             return;
         }
         acquireConnection();
     }
 
+    private AdmissionRequest admissionRequest() {
+        return new AdmissionRequest(
+                context.route().priority(), context.account(), startedAtNanos + retryWindowNanos());
+    }
+
     private void acquireConnection() {
         waiter = null;
-        EndpointPool.Waiter requested =
-                placement.pool().acquire(context.account(), this::onConnectionReady);
-        if (connection == null && !isFinished && !needsPlacement) {
-            waiter = requested;
+        Ticket<Consumer<PooledConnection>> queued =
+                placement.pool().acquire(admissionRequest(), this::onConnectionReady);
+        if (queued != null) {
+            waiter = queued;
         }
     }
 
@@ -218,6 +235,10 @@
             }
             return;
         }
+        if (ready == null && isPastRetryWindow(EventLoop.nowNanos())) {
+            fail(SessionError.BUSY, Rejection.Reason.EXPIRED.text());
+            return;
+        }
         if (ready == null) {
             lastDetail = "the endpoint has left";
             retryElsewhere();
@@ -290,7 +311,10 @@
 
     private void applyDecision(Decision decision, EndpointReply reply) {
         boolean retriesExhausted =
-                isTimedOut || isPastRetryWindow(EventLoop.nowNanos()) || attempts >= MAX_ATTEMPTS;
+                isTimedOut
+                        || isAbandoned
+                        || isPastRetryWindow(EventLoop.nowNanos())
+                        || attempts >= MAX_ATTEMPTS;
         switch (decision.step()) {
             case DELIVER -> finish(reply, null);
             case RETRY_ELSEWHERE -> {
@@ -355,7 +379,11 @@
     }
 
     private boolean isPastRetryWindow(long nowNanos) {
-        return nowNanos - startedAtNanos > (long) (RETRY_WINDOW_SHARE * timeoutNanos);
+        return nowNanos - startedAtNanos >= retryWindowNanos();
+    }
+
+    private long retryWindowNanos() {
+        return (long) (RETRY_WINDOW_SHARE * timeoutNanos);
     }
 
     /** Returns true while the statement is in flight at the group's primary, which responds. */
@@ -374,6 +402,10 @@
             checkReply(nowNanos);
             return;
         }
+        if (!isPinned && context.callerHasLeft().getAsBoolean()) {
+            fail(SessionError.ABORTED, "the caller has left");
+            return;
+        }
         if (isPastRetryWindow(nowNanos)) {
             if (isPinned) {
                 closeConnection();
@@ -410,6 +442,12 @@
             connection.connection().close();
             return;
         }
+        if (isWorthCancelling(nowNanos)) {
+            isAbandoned = true;
+            isRerouting = true;
+            connection.connection().close();
+            return;
+        }
         isTimedOut = nowNanos - startedAtNanos > timeoutNanos;
         isRerouting = !isTimedOut && isStuck(nowNanos);
         if (!isTimedOut && !isRerouting) {
@@ -421,6 +459,18 @@
         connection.connection().close();
     }
 
+    /**
+     * Returns true for a read whose caller has left and that takes longer than usual; for a shorter
+     * one, opening another connection would cost the endpoint more than the read.
+     */
+    private boolean isWorthCancelling(long nowNanos) {
+        double averageMillis = connection.pool().health().responseMillis();
+        long worthNanos = (long) (Math.max(OPENING_MILLIS, averageMillis) * NANOS_PER_MILLI);
+        return operation.effect() == Effect.SINGLE_READ
+                && context.callerHasLeft().getAsBoolean()
+                && nowNanos - sentAtNanos > worthNanos;
+    }
+
     /**
      * Returns true when the reply is long overdue and the connection can be closed without an
      * effect that stays: for a read, or a transaction whose commit was not sent.
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
@@ -88,7 +88,7 @@
                         primaryOnly);
         StatementExecution.SessionContext context =
                 new StatementExecution.SessionContext(
-                        account, route, state.settings(), state.lastCommit());
+                        account, route, state.settings(), state.lastCommit(), state::callerHasLeft);
         StatementExecution.onAnyEndpoint(
                         engine,
                         operation,
@@ -124,7 +124,8 @@
                         transaction.accountId(),
                         transaction.route(),
                         state.settings(),
-                        state.lastCommit());
+                        state.lastCommit(),
+                        state::callerHasLeft);
         transaction.execute(
                 operation, context, outcome -> done.accept(toResult(outcome, startedNanos)));
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -154,7 +154,9 @@
                 account,
                 route,
                 rejection -> {
-                    if (rejection != null) {
+                    if (isEnded) {
+                        isBusy = false;
+                    } else if (rejection != null) {
                         fail(id, SessionError.BUSY, rejection);
                     } else {
                         executeAdmitted(id, statement, prepared, route, account);
@@ -385,6 +387,7 @@
             return;
         }
         isEnded = true;
+        state.markCallerLeft();
         service.onEnded(this);
         if (transaction != null && !isBusy) {
             transaction.rollBack();
