Drop waiting statements whose caller has left

A freed connection went to a statement that nobody waits for, and a read without a response was sent again after its caller had left. CallerLeftTest fails without the mark that a caller has left and passes with it.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -51,6 +51,7 @@
 
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
+    private static final String CALLER_LEFT = "the caller has left";
 
     /**
      * A statement to execute.
@@ -245,7 +246,11 @@
             return;
         }
         connection = ready;
-        send();
+        if (context.callerHasLeft().getAsBoolean()) {
+            fail(SessionError.ABORTED, CALLER_LEFT);
+        } else {
+            send();
+        }
     }
 
     private void send() {
@@ -403,7 +408,7 @@
             return;
         }
         if (!isPinned && context.callerHasLeft().getAsBoolean()) {
-            fail(SessionError.ABORTED, "the caller has left");
+            fail(SessionError.ABORTED, CALLER_LEFT);
             return;
         }
         if (isPastRetryWindow(nowNanos)) {
