Limit statements in flight to the slots of an endpoint

A pool with more connections than the endpoint has slots sent all its statements at once, and refused ones came back in an order of chance. SlotLimit follows the refusals; a rejected read tries other endpoints first.

--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionOrderTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionOrderTest.java
@@ -138,6 +138,34 @@
         assertFalse(queue.isFull());
     }
 
+    /** A sender with more connections than slots: few refusals, and slots are hardly ever idle. */
+    @Example
+    void theSlotLimitFollowsTheSlotsThatAreFree() {
+        SlotLimit limit = new SlotLimit();
+        int refused = 0;
+        int used = 0;
+        int offered = 0;
+        for (int step = 0; step < 2_000; step++) {
+            long now = step * 10 * MILLI;
+            int slots = step < 1_000 ? 2 : 5;
+            int inFlight = 0;
+            while (inFlight < Math.min(30, limit.limit())) {
+                if (inFlight == slots) {
+                    limit.onBusy(inFlight, now);
+                    refused++;
+                } else {
+                    inFlight++;
+                }
+            }
+            limit.onRun(inFlight - 1, now);
+            used += inFlight;
+            offered += slots;
+        }
+        assertTrue(refused <= 201, refused + " refused in 20 s");
+        assertTrue(used >= 0.97 * offered, used + " of " + offered);
+        assertEquals(Integer.MAX_VALUE, new SlotLimit().limit());
+    }
+
     @Property(tries = 200, seed = "20261204")
     void nothingIsLostServedTwiceOrServedTooLate(@ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionQueueTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionQueueTest.java
@@ -127,11 +127,12 @@
         return share(requests, request -> request.priority == 0, Request::inTime);
     }
 
-    private static double othersLossInSurge(long seed, double factor, Supplier<Discipline> order) {
+    private static double othersLossInSurge(
+            long seed, double factor, int onlyClass, Supplier<Discipline> order) {
         Load load = load(seed, USUAL_UTILIZATION);
         Predicate<Request> others = request -> !request.account.equals(Load.LARGEST);
         List<Request> usual = play(seed, load.usual(SECONDS), order.get());
-        List<Request> surge = play(seed, load.surge(SECONDS, factor), order.get());
+        List<Request> surge = play(seed, load.surge(SECONDS, factor, onlyClass), order.get());
         return share(usual, others, Request::inTime) - share(surge, others, Request::inTime);
     }
 
@@ -146,10 +147,22 @@
     @Test
     void oneAccountAtAMultipleOfItsLoadLeavesTheOthersInTime() {
         for (double factor : new double[] {4, 5.5, 7}) {
-            for (long seed = 1; seed <= SEEDS; seed++) {
-                double loss = othersLossInSurge(seed, factor, Ordered::new);
-                assertTrue(loss <= 0.02, "seed " + seed + ", factor " + factor + ": " + loss);
-            }
+            assertOthersKeepTheirTime(factor, -1);
+        }
+    }
+
+    /** Class goes before account, so the account's share must bound its urgent requests too. */
+    @Test
+    void oneAccountWithManyUrgentRequestsLeavesTheOthersInTime() {
+        for (double factor : new double[] {4, 7}) {
+            assertOthersKeepTheirTime(factor, 0);
+        }
+    }
+
+    private static void assertOthersKeepTheirTime(double factor, int onlyClass) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            double loss = othersLossInSurge(seed, factor, onlyClass, Ordered::new);
+            assertTrue(loss <= 0.02, "seed " + seed + ", factor " + factor + ": " + loss);
         }
     }
 
@@ -159,7 +172,7 @@
         for (long seed = 1; seed <= SEEDS; seed++) {
             double inTime = mostUrgentInTimeInBurst(seed, new FirstComeFirstServed());
             assertTrue(inTime < 0.98, "seed " + seed + ": " + inTime);
-            double loss = othersLossInSurge(seed, 7, FirstComeFirstServed::new);
+            double loss = othersLossInSurge(seed, 7, -1, FirstComeFirstServed::new);
             assertTrue(loss > 0.02, "seed " + seed + ": " + loss);
         }
     }
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/Load.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/Load.java
@@ -47,9 +47,15 @@
 
     /** Adds a span in which the largest account has a multiple of its usual load. */
     List<Request> surge(int seconds, double factor) {
+        return surge(seconds, factor, -1);
+    }
+
+    /** The same with all of the additional load in one class; -1 for the usual classes. */
+    List<Request> surge(int seconds, double factor, int onlyClass) {
         double more = perSecond * LARGE_ACCOUNT_SHARES[0] * (factor - 1);
         return merge(
-                usual(seconds), generate(new Random(seed + 2), 5, seconds - 5, more, -1, true));
+                usual(seconds),
+                generate(new Random(seed + 2), 5, seconds - 5, more, onlyClass, true));
     }
 
     private static List<Request> merge(List<Request> some, List<Request> more) {
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/Rejection.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/Rejection.java
@@ -10,6 +10,8 @@
  * @param retryAfterNanos the time after which the caller may try again
  */
 public record Rejection(Reason reason, long expectedWaitNanos, long retryAfterNanos) {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /** Kinds of rejections. */
     public enum Reason {
         /** The queue is full, and no request in it is less urgent. */
@@ -36,4 +38,13 @@
             return text;
         }
     }
+
+    /**
+     * Describes the rejection for the caller and the log.
+     *
+     * @return the reason and the expected wait
+     */
+    public String describe() {
+        return reason.text() + "; expected wait " + expectedWaitNanos / NANOS_PER_MILLI + " ms";
+    }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointHealth.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointHealth.java
@@ -50,6 +50,11 @@
         inFlight--;
     }
 
+    /** Returns the number of statements in flight. */
+    int inFlight() {
+        return inFlight;
+    }
+
     void recordReply(EndpointReply reply, long sentAtNanos, long nowNanos) {
         lastReplyNanos = nowNanos;
         silentSinceNanos = nowNanos;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -14,6 +14,7 @@
 import org.chivevale.core.admission.AdmissionRequest;
 import org.chivevale.core.admission.DemandReport;
 import org.chivevale.core.admission.Rejection;
+import org.chivevale.core.admission.SlotLimit;
 import org.chivevale.core.admission.Ticket;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.Reply;
@@ -44,6 +45,7 @@
     private final Deque<PooledConnection> idle = new ArrayDeque<>();
     private final AdmissionQueue<Consumer<PooledConnection>> waiters =
             new AdmissionQueue<>(MAX_WAITERS);
+    private final SlotLimit slots = new SlotLimit();
     private final AdmissionMetrics metrics;
     private long connectAfterNanos;
     private int share;
@@ -79,12 +81,13 @@
     Rejection rejectionFor(AdmissionRequest request) {
         long now = EventLoop.nowNanos();
         expireWaiters(now);
-        Rejection rejection = waiters.check(request, now, usage());
-        if (rejection != null) {
-            waiters.recordArrival(request, now, share);
-            metrics.recordRejection(rejection.reason());
-        }
-        return rejection;
+        return waiters.check(request, now, usage());
+    }
+
+    /** Records that a request was rejected and did not go elsewhere. */
+    void recordRejection(AdmissionRequest request, Rejection rejection) {
+        waiters.recordArrival(request, EventLoop.nowNanos(), capacity());
+        metrics.recordRejection(rejection.reason());
     }
 
     /**
@@ -95,8 +98,8 @@
     Ticket<Consumer<PooledConnection>> acquire(
             AdmissionRequest request, Consumer<PooledConnection> callback) {
         long now = EventLoop.nowNanos();
-        waiters.recordArrival(request, now, share);
-        if (waiters.size() == 0) {
+        waiters.recordArrival(request, now, capacity());
+        if (waiters.size() == 0 && hasSlot()) {
             PooledConnection connection = takeOrOpen(request.account());
             if (connection != null) {
                 recordDemand();
@@ -120,7 +123,15 @@
     }
 
     private PoolUsage usage() {
-        return new PoolUsage(open, idle, share);
+        return new PoolUsage(open, idle, share, slots.limit(), hasSlot());
+    }
+
+    private int capacity() {
+        return Math.min(share, slots.limit());
+    }
+
+    private boolean hasSlot() {
+        return health.inFlight() < slots.limit();
     }
 
     void cancel(Ticket<Consumer<PooledConnection>> ticket) {
@@ -132,13 +143,18 @@
     }
 
     private void recordDemand() {
-        int demand = inUse() + waiters.size();
+        int demand = demand();
         if (demand > share && demand > peakDemand) {
             requestShare.run();
         }
         peakDemand = Math.max(peakDemand, demand);
     }
 
+    /** Returns the connections wanted; more would not help requests that wait for a slot. */
+    private int demand() {
+        return hasSlot() ? load() : inUse();
+    }
+
     int inUse() {
         return open.size() - idle.size();
     }
@@ -149,7 +165,7 @@
 
     /** Returns true when a new request would not have to wait for a connection. */
     boolean hasFreeConnection() {
-        return !isClosed && waiters.size() == 0 && inUse() < share;
+        return !isClosed && waiters.size() == 0 && inUse() < share && hasSlot();
     }
 
     /**
@@ -230,6 +246,16 @@
             health.recordLost(now);
         } else {
             health.recordReply(reply, sentAtNanos, now);
+            updateSlots(reply.reply(), now);
+        }
+    }
+
+    private void updateSlots(Reply reply, long nowNanos) {
+        if (reply == Reply.BUSY) {
+            slots.onBusy(health.inFlight(), nowNanos);
+        } else if (reply == Reply.SUCCESS) {
+            slots.onRun(health.inFlight(), nowNanos);
+            serveWaiters();
         }
     }
 
@@ -262,7 +288,8 @@
 
     private boolean serveNext(long nowNanos) {
         expireWaiters(nowNanos);
-        Ticket<Consumer<PooledConnection>> next = waiters.next(nowNanos, usage());
+        Ticket<Consumer<PooledConnection>> next =
+                hasSlot() ? waiters.next(nowNanos, usage()) : null;
         if (next == null) {
             return false;
         }
@@ -270,7 +297,7 @@
         if (connection == null) {
             return false;
         }
-        waiters.take(next, nowNanos, share);
+        waiters.take(next, nowNanos, capacity());
         next.item().accept(connection);
         return true;
     }
@@ -321,7 +348,7 @@
 
     int takePeakDemand() {
         int demand = peakDemand;
-        peakDemand = load();
+        peakDemand = demand();
         return demand;
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PoolUsage.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PoolUsage.java
@@ -18,7 +18,12 @@
     private final int capacity;
     private final boolean hasFreeSlot;
 
-    PoolUsage(Iterable<PooledConnection> open, Iterable<PooledConnection> idle, int share) {
+    PoolUsage(
+            Iterable<PooledConnection> open,
+            Iterable<PooledConnection> idle,
+            int share,
+            int slots,
+            boolean hasSlot) {
         int used = 0;
         for (PooledConnection connection : open) {
             inUse.merge(connection.account(), 1, Integer::sum);
@@ -29,8 +34,8 @@
             withIdle.add(connection.account());
             used--;
         }
-        capacity = share;
-        hasFreeSlot = used < share;
+        capacity = Math.min(share, slots);
+        hasFreeSlot = hasSlot && used < share;
     }
 
     @Override
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -207,13 +207,28 @@
         }
         needsPlacement = false;
         Rejection rejection = placement.pool().rejectionFor(admissionRequest());
-        if (rejection != null) {
-            fail(SessionError.BUSY, rejection.reason().text());
+        if (rejection != null && !moveToAcceptingEndpoint()) {
+            placement.pool().recordRejection(admissionRequest(), rejection);
+            fail(SessionError.BUSY, rejection.describe());
             return;
         }
         acquireConnection();
     }
 
+    /** Selects another endpoint for a read that the selected one cannot serve in time. */
+    private boolean moveToAcceptingEndpoint() {
+        Set<EndpointId> tried = new HashSet<>(excluded);
+        Placement next = operation.primaryOnly() ? null : placement;
+        while (next != null && tried.add(next.pool().target().endpoint())) {
+            next = engine.selectPlacement(context.route(), false, context.lastCommit(), tried);
+            if (next != null && next.pool().rejectionFor(admissionRequest()) == null) {
+                placement = next;
+                return true;
+            }
+        }
+        return false;
+    }
+
     private AdmissionRequest admissionRequest() {
         return new AdmissionRequest(
                 context.route().priority(), context.account(), startedAtNanos + retryWindowNanos());
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/session/EndpointPoolTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/session/EndpointPoolTest.java
@@ -1,6 +1,7 @@
 package org.chivevale.proxy.internal.session;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,6 +17,7 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
+import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.database.MemberTarget;
@@ -148,9 +150,31 @@
         Rejection rejection = pool.rejectionFor(hurried);
         assertEquals(Rejection.Reason.WAIT_TOO_LONG, rejection.reason());
         assertNull(pool.rejectionFor(request(1, SMALL)));
+        pool.recordRejection(hurried, rejection);
         assertEquals(1, rejections("WAIT_TOO_LONG"));
     }
 
+    /** More connections than slots: the order would otherwise be that of refused attempts. */
+    @Test
+    void aRequestWaitsWhileTheEndpointHasNoFreeSlot() {
+        pool.setShare(10);
+        long now = EventLoop.nowNanos();
+        for (int i = 0; i < 3; i++) {
+            acquire("" + i, request(1, SMALL));
+            pool.health().recordSent(now);
+        }
+        pool.health().recordEnded();
+        pool.recordReply(EndpointReply.withoutResponse(Reply.BUSY, "no slot"), now);
+        releaseNext();
+        acquire("less urgent", request(2, SMALL));
+        acquire("urgent", request(0, LARGE));
+        assertEquals(List.of("0", "1", "2"), served);
+        assertFalse(pool.hasFreeConnection());
+        pool.health().recordEnded();
+        releaseNext();
+        assertEquals("urgent", served.get(3));
+    }
+
     @Test
     void aClosedPoolTellsAllWaitersOnce() {
         pool.setShare(1);
