Compare endpoints by what they can run at once

A pool with many connections and few slots seemed free. A request at its deadline is served while a slot is free. core.test, PlatformPathTest, CallerLeftTest, EndpointPoolTest and RateLimiterTest pass.

--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionOrderTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionOrderTest.java
@@ -112,6 +112,7 @@
         assertNull(queue.check(request(1, SMALL, 5_001), 0, NO_IDLE));
         assertNull(queue.check(request(0, SMALL, 100), 0, NO_IDLE));
         assertNull(queue.check(request(1, SMALL, 100), 0, new Use(null, 1, true)));
+        assertNull(queue.check(request(1, SMALL, 0), 1, new Use(null, 1, true)));
         TreeSet<Long> retries = new TreeSet<>();
         for (int i = 0; i < 20; i++) {
             Rejection rejection = queue.check(request(2, LARGE, 100), 0, NO_IDLE);
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/AdmissionQueue.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/AdmissionQueue.java
@@ -93,7 +93,7 @@
             double factor = shares.waitFactor(request.account());
             wait = (long) (factor * expectedWaitNanos(request, nowNanos, use.capacity()));
         }
-        if (wait > remaining) {
+        if (!use.hasFreeSlot() && wait > remaining) {
             return rejection(Rejection.Reason.WAIT_TOO_LONG, wait, remaining);
         }
         if (isFull() && victimFor(request, nowNanos) == null) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -126,7 +126,8 @@
         return new PoolUsage(open, idle, share, slots.limit(), hasSlot());
     }
 
-    private int capacity() {
+    /** Returns how many statements can run at once, by connections and by slots. */
+    int capacity() {
         return Math.min(share, slots.limit());
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -113,7 +113,7 @@
                 placement.isPrimary(),
                 distance(member),
                 pool.load(),
-                pool.share(),
+                pool.capacity(),
                 pool.health().responseMillis(),
                 fresh,
                 pool.share() == 0 || pool.health().isAvoided(nowNanos, SILENCE_NANOS));
