--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/AdmissionQueue.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/AdmissionQueue.java
@@ -18,12 +18,13 @@
  * and spans in which one account sends 4 to 7 times its usual load. In these the total exceeds what
  * the slots can do, and first come, first served makes every request late.
  *
- * <p>Order: the most urgent class first; in it the account with the fewest connections in use, and
- * of these the one that was served least recently; of an account the request with the earliest
- * deadline. Within a class an account with an idle connection goes first, unless it has its fair
- * share in use already, until the first request has waited for {@link #IDLE_PREFERENCE_NANOS} or a
- * part of its time. A request that has waited for half of its time is aged; every {@link
- * #AGED_TURN}th turn serves an aged request of a lower class.
+ * <p>Order: requests within their account's fair share before those beyond it ({@link FairShares},
+ * which limits accounts in overload only); the most urgent class first; in it the account with the
+ * fewest connections in use, and of these the one that was served least recently; of an account the
+ * request with the earliest deadline. Within a class an account with an idle connection goes first,
+ * unless it has its fair share in use already, until the first request has waited for {@link
+ * #IDLE_PREFERENCE_NANOS} or a part of its time. A request that has waited for half of its time is
+ * aged; every {@link #AGED_TURN}th turn serves an aged request of a lower class.
  *
  * <p>Invariants: no request is rejected for its expected wait while a slot is free; at most {@code
  * maxWaiting} requests wait; a full queue gives up a request only for a more urgent one, or for one
