--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -7,10 +7,16 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionQueue;
+import org.chivevale.core.admission.AdmissionRequest;
 import org.chivevale.core.admission.DemandReport;
+import org.chivevale.core.admission.Rejection;
+import org.chivevale.core.admission.SlotLimit;
+import org.chivevale.core.admission.Ticket;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.Reply;
 import org.chivevale.database.MemberTarget;
@@ -23,16 +29,13 @@
  * The connection pool of this proxy for one endpoint, with its queue of waiters.
  *
  * <p>Invariants: no connection is opened above the leased share; a connection belongs to one client
- * account, so an idle one of another account is closed to make room; waiters are served in order,
- * but for {@link #OWN_ACCOUNT_PRIORITY_NANOS} a waiter whose account has an idle connection goes
- * first, since opening a new connection costs the endpoint a slot. While other proxies hold the
- * endpoint's connections, requests get a relayed connection and none waits here. Used on the event
- * loop.
+ * account, so an idle one of another account is closed to make room; waiters are served in the
+ * order of {@link AdmissionQueue}, and one whose deadline has passed gets no connection. While
+ * other proxies hold the endpoint's connections, requests get a relayed connection and none waits
+ * here. Used on the event loop.
  */
 final class EndpointPool {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long OWN_ACCOUNT_PRIORITY_NANOS = 250 * NANOS_PER_MILLI;
-    private static final int OWN_ACCOUNT_LOOKAHEAD = 64;
     private static final long RECONNECT_DELAY_NANOS = 50 * NANOS_PER_MILLI;
     private static final int MAX_WAITERS = 400;
 
@@ -50,10 +53,13 @@
     private final EndpointHealth health = new EndpointHealth(EventLoop.nowNanos());
     private final Set<PooledConnection> open = new HashSet<>();
     private final Deque<PooledConnection> idle = new ArrayDeque<>();
-    private final Deque<Waiter> waiters = new ArrayDeque<>();
+    private final AdmissionQueue<Waiter> waiters = new AdmissionQueue<>(MAX_WAITERS);
+    private final SlotLimit slots = new SlotLimit();
+    private final AdmissionMetrics metrics;
     private long connectAfterNanos;
     private int share;
     private int peakDemand;
+    private boolean isServing;
     private boolean isClosed;
     private boolean isBlocked;
     private Function<PoolRequest, RelayedConnection> relay;
@@ -63,24 +69,21 @@
      * A queued request for a connection.
      *
      * @param request the request
-     * @param queuedAtNanos when it was queued, on the monotonic clock
      * @param callback receives the connection, or null when there will be none
      */
-    record Waiter(PoolRequest request, long queuedAtNanos, Consumer<PooledConnection> callback) {
-        ClientAccountId account() {
-            return request.account();
-        }
-    }
+    record Waiter(PoolRequest request, Consumer<PooledConnection> callback) {}
 
     EndpointPool(
             MemberTarget target,
             SessionConnector connector,
             Runnable requestShare,
-            ConnectionMeters meters) {
+            ConnectionMeters meters,
+            AdmissionMetrics metrics) {
         this.meters = meters;
         this.target = target;
         this.connector = connector;
         this.requestShare = requestShare;
+        this.metrics = metrics;
         this.connectAfterNanos = EventLoop.nowNanos();
     }
 
@@ -96,29 +99,60 @@
         return health;
     }
 
-    /** Requests a connection; the returned waiter can be cancelled until it is served. */
-    Waiter acquire(PoolRequest request, Consumer<PooledConnection> callback) {
+    /**
+     * Returns why a request must not wait here, or null when it may; a connection host decides for
+     * itself.
+     */
+    Rejection rejectionFor(AdmissionRequest request) {
+        if (relay != null) {
+            return null;
+        }
         long now = EventLoop.nowNanos();
-        Waiter waiter = new Waiter(request, now, callback);
+        expireWaiters(now);
+        return waiters.check(request, now, usage());
+    }
+
+    /** Records that a request was rejected and did not go elsewhere. */
+    void recordRejection(AdmissionRequest request, Rejection rejection) {
+        waiters.recordArrival(request, EventLoop.nowNanos(), capacity());
+        metrics.recordRejection(rejection.reason());
+    }
+
+    /**
+     * Requests a connection; the returned ticket can be cancelled until it is served. The callback
+     * receives the connection, or null when there will be none; the ticket is null if it has done
+     * so already.
+     */
+    Ticket<Waiter> acquire(PoolRequest pooled, Consumer<PooledConnection> callback) {
         if (relay != null) {
-            callback.accept(isClosed || isFull() ? null : openRelayed(request));
-            return waiter;
+            boolean isRejected = isClosed || isBlocked || relayedInUse >= MAX_WAITERS;
+            callback.accept(isRejected ? null : openRelayed(pooled));
+            return null;
         }
-        if (waiters.isEmpty()) {
+        AdmissionRequest request = pooled.admission();
+        long now = EventLoop.nowNanos();
+        waiters.recordArrival(request, now, capacity());
+        if (waiters.size() == 0 && hasSlot()) {
             PooledConnection connection = takeOrOpen(request.account());
             if (connection != null) {
                 recordDemand();
+                waiters.recordServed(request, now);
                 callback.accept(connection);
-                return waiter;
+                return null;
             }
         }
-        if (isClosed || isBlocked || isFull()) {
+        Ticket<Waiter> displaced = waiters.displaceFor(request, now);
+        if (isClosed || isBlocked || waiters.isFull()) {
             callback.accept(null);
-            return waiter;
+            return null;
         }
-        waiters.addLast(waiter);
+        Ticket<Waiter> ticket = waiters.add(new Waiter(pooled, callback), request, now, usage());
         recordDemand();
-        return waiter;
+        if (displaced != null) {
+            metrics.recordRejection(Rejection.Reason.DISPLACED);
+            displaced.item().callback().accept(null);
+        }
+        return ticket;
     }
 
     private PooledConnection openRelayed(PoolRequest request) {
@@ -136,10 +170,11 @@
         if (relay == null) {
             return;
         }
-        List<Waiter> waiting = new ArrayList<>(waiters);
-        waiters.clear();
         peakDemand = 0;
-        waiting.forEach(waiter -> waiter.callback().accept(openRelayed(waiter.request())));
+        for (Ticket<Waiter> waiting : waiters.clear()) {
+            Waiter waiter = waiting.item();
+            waiter.callback().accept(openRelayed(waiter.request()));
+        }
     }
 
     boolean isRelayed() {
@@ -151,23 +186,40 @@
         demandReport = new DemandReport();
     }
 
-    /** Returns true when no further request may wait. */
-    boolean isFull() {
-        return (relay == null ? waiters.size() : relayedInUse) >= MAX_WAITERS;
+    private PoolUsage usage() {
+        return new PoolUsage(open, idle, share, slots.limit(), hasSlot());
+    }
+
+    /** Returns how many statements can run at once, by connections and by slots. */
+    int capacity() {
+        return Math.min(share, slots.limit());
+    }
+
+    private boolean hasSlot() {
+        return health.inFlight() < slots.limit();
+    }
+
+    void cancel(Ticket<Waiter> ticket) {
+        waiters.remove(ticket);
     }
 
-    void cancel(Waiter waiter) {
-        waiters.remove(waiter);
+    SortedMap<Integer, Integer> waitingByPriority() {
+        return waiters.sizes();
     }
 
     private void recordDemand() {
-        int demand = inUse() + waiters.size();
+        int demand = demand();
         if (demand > share && demand > peakDemand) {
             requestShare.run();
         }
         peakDemand = Math.max(peakDemand, demand);
     }
 
+    /** Returns the connections wanted; more would not help requests that wait for a slot. */
+    private int demand() {
+        return hasSlot() ? load() : inUse();
+    }
+
     int inUse() {
         return open.size() - idle.size();
     }
@@ -183,18 +235,13 @@
 
     /** Returns how many requests can run at a time; for a relayed endpoint, an estimate. */
     int usableConnections() {
-        return relay == null ? share : NOMINAL_RELAYED_CONNECTIONS;
+        return relay == null ? capacity() : NOMINAL_RELAYED_CONNECTIONS;
     }
 
     /** Returns true when a new request would not have to wait for a connection. */
     boolean hasFreeConnection() {
-        return !isClosed && (relay != null || waiters.isEmpty() && inUse() < share);
-    }
-
-    /** Returns true when the queue is so long that a new waiter would exceed its maximum wait. */
-    boolean isOverloaded(long maxWaitNanos) {
-        double rounds = (double) waiters.size() / Math.max(1, share);
-        return rounds * health.responseMillis() * NANOS_PER_MILLI > maxWaitNanos;
+        boolean isFree = waiters.size() == 0 && inUse() < share && hasSlot();
+        return !isClosed && (relay != null || isFree);
     }
 
     /**
@@ -282,6 +329,16 @@
             health.recordLost(now);
         } else {
             health.recordReply(reply, sentAtNanos, now);
+            updateSlots(reply.reply(), now);
+        }
+    }
+
+    private void updateSlots(Reply reply, long nowNanos) {
+        if (reply == Reply.BUSY) {
+            slots.onBusy(health.inFlight(), nowNanos);
+        } else if (reply == Reply.SUCCESS) {
+            slots.onRun(health.inFlight(), nowNanos);
+            serveWaiters();
         }
     }
 
@@ -304,37 +361,42 @@
         serveWaiters();
     }
 
+    /** Serves waiters; a call from a callback of this one leaves them to the loop in progress. */
     private void serveWaiters() {
-        while (!waiters.isEmpty()) {
-            Waiter next = nextWaiter();
-            PooledConnection connection = takeOrOpen(next.account());
-            if (connection == null) {
-                return;
+        if (isServing || waiters.size() == 0) {
+            return;
+        }
+        isServing = true;
+        try {
+            boolean served = true;
+            while (served && waiters.size() > 0) {
+                served = serveNext(EventLoop.nowNanos());
             }
-            waiters.remove(next);
-            next.callback().accept(connection);
+        } finally {
+            isServing = false;
         }
     }
 
-    private Waiter nextWaiter() {
-        Waiter first = waiters.peekFirst();
-        boolean mayWait = EventLoop.nowNanos() - first.queuedAtNanos() < OWN_ACCOUNT_PRIORITY_NANOS;
-        if (!mayWait || idle.isEmpty()) {
-            return first;
+    private boolean serveNext(long nowNanos) {
+        expireWaiters(nowNanos);
+        Ticket<Waiter> next = hasSlot() ? waiters.next(nowNanos, usage()) : null;
+        if (next == null) {
+            return false;
         }
-        int examined = 0;
-        for (Waiter waiter : waiters) {
-            for (PooledConnection connection : idle) {
-                if (connection.account().equals(waiter.account())) {
-                    return waiter;
-                }
-            }
-            examined++;
-            if (examined == OWN_ACCOUNT_LOOKAHEAD) {
-                break;
-            }
+        PooledConnection connection = takeOrOpen(next.request().account());
+        if (connection == null) {
+            return false;
+        }
+        waiters.take(next, nowNanos, capacity());
+        next.item().callback().accept(connection);
+        return true;
+    }
+
+    private void expireWaiters(long nowNanos) {
+        for (Ticket<Waiter> expired : waiters.expire(nowNanos)) {
+            metrics.recordRejection(Rejection.Reason.EXPIRED);
+            expired.item().callback().accept(null);
         }
-        return first;
     }
 
     /**
@@ -353,6 +415,7 @@
     }
 
     void tick() {
+        expireWaiters(EventLoop.nowNanos());
         serveWaiters();
     }
 
@@ -375,7 +438,7 @@
 
     int takePeakDemand() {
         int demand = peakDemand;
-        peakDemand = load();
+        peakDemand = demand();
         return relay == null ? demand : 0;
     }
 
@@ -394,6 +457,13 @@
         return isBlocked;
     }
 
+    /**
+     * Returns false when requests get no connection here: the endpoint has left or is evacuated.
+     */
+    boolean takesWork() {
+        return !isClosed && !isBlocked;
+    }
+
     /** Closes the pool; connections in use are closed when they are released. */
     void close() {
         isClosed = true;
@@ -404,9 +474,7 @@
         List<PooledConnection> unused = new ArrayList<>(idle);
         idle.clear();
         unused.forEach(connection -> closeConnection(connection, Reason.POOL_CLOSED));
-        List<Waiter> waiting = new ArrayList<>(waiters);
-        waiters.clear();
-        waiting.forEach(waiter -> waiter.callback().accept(null));
+        waiters.clear().forEach(ticket -> ticket.item().callback().accept(null));
     }
 
     TermPosition position() {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PoolRequest.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PoolRequest.java
@@ -1,6 +1,7 @@
 package org.chivevale.proxy.internal.session;
 
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionRequest;
 import org.chivevale.core.config.AllowedRegions;
 
 /**
@@ -8,10 +9,12 @@
  *
  * <p>Immutable.
  *
- * @param account the client account that the connection must belong to
- * @param priority the urgency of the route; 0 is the highest
- * @param deadlineNanos the monotonic time until which a statement can still run in time
+ * @param admission its place in the order of waiting requests
  * @param allowedRegions the regions in which proxies may receive the statement's text
  */
-record PoolRequest(
-        ClientAccountId account, int priority, long deadlineNanos, AllowedRegions allowedRegions) {}
+record PoolRequest(AdmissionRequest admission, AllowedRegions allowedRegions) {
+    /** Returns the client account that the connection must belong to. */
+    ClientAccountId account() {
+        return admission.account();
+    }
+}
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PositionProbe.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PositionProbe.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionRequest;
+import org.chivevale.core.admission.Ticket;
 import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
@@ -40,7 +42,7 @@
     private static final class Probe {
         final Placement primary;
         final long startedAtNanos;
-        EndpointPool.Waiter waiter;
+        Ticket<EndpointPool.Waiter> waiter;
         PooledConnection connection;
         boolean isEnded;
 
@@ -68,7 +70,7 @@
         }
         Probe probe = new Probe(primary, now);
         probes.put(primary.group().id(), probe);
-        EndpointPool.Waiter waiter =
+        Ticket<EndpointPool.Waiter> waiter =
                 primary.pool()
                         .acquire(
                                 request(account, now),
@@ -80,7 +82,9 @@
 
     /** Returns a request that any connection host may relay, since a probe has no text. */
     private static PoolRequest request(ClientAccountId account, long nowNanos) {
-        return new PoolRequest(account, PRIORITY, nowNanos + TIMEOUT_NANOS, AllowedRegions.ANY);
+        return new PoolRequest(
+                new AdmissionRequest(PRIORITY, account, nowNanos + TIMEOUT_NANOS),
+                AllowedRegions.ANY);
     }
 
     private static boolean isDue(Probe last, long nowNanos) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
@@ -227,7 +227,8 @@
                 new ClientAccountId(request.getAccountId()),
                 route,
                 Map.copyOf(request.getSettingsMap()),
-                TermPosition.NONE);
+                TermPosition.NONE,
+                () -> false);
     }
 
     /** Creates an execution that reports to a listener. */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.group.EndpointId;
@@ -75,6 +77,7 @@
     private RelayedConnection.Relay relay;
     private ConnectionMeters meters;
     private boolean isDraining;
+    private AdmissionMetrics admissionMetrics;
     private long shareRequestedAtNanos;
 
     /** The leader's shares that the next demands are a difference to; 0 to list all demands. */
@@ -108,6 +111,7 @@
                         registry,
                         () -> requestShare(SHORTAGE_REQUEST_INTERVAL_NANOS));
         meters = new ConnectionMeters(registry);
+        admissionMetrics = new AdmissionMetrics(registry);
         loop.runAndWait(
                 () -> {
                     link.addRenewalParticipant(this);
@@ -121,8 +125,11 @@
      */
     private long tick() {
         boolean isBusy = false;
+        SortedMap<Integer, Integer> waiting = new TreeMap<>();
         for (EndpointPool pool : List.copyOf(pools.values())) {
             pool.tick();
+            pool.waitingByPriority()
+                    .forEach((priority, length) -> waiting.merge(priority, length, Integer::sum));
             isBusy |= pool.pendingRequests() > 0 || pool.health().isFailing();
             if (!pool.isRelayed() && pool.load() > pool.share()) {
                 requestShare(
@@ -131,6 +138,7 @@
                                 : SHORTAGE_REQUEST_INTERVAL_NANOS);
             }
         }
+        admissionMetrics.setLengths(waiting);
         updateSuspects();
         relay.links().tick();
         return isBusy ? TICK_MILLIS : EventLoop.LONGEST_PAUSE_MILLIS;
@@ -183,7 +191,8 @@
                 key -> {
                     link.renewSoon();
                     EndpointPool pool =
-                            new EndpointPool(key, connector, this::requestShare, meters);
+                            new EndpointPool(
+                                    key, connector, this::requestShare, meters, admissionMetrics);
                     updateRelay(pool);
                     return pool;
                 });
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -4,7 +4,11 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionRequest;
+import org.chivevale.core.admission.Rejection;
+import org.chivevale.core.admission.Ticket;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -43,8 +47,12 @@
     /** A primary that has been silent for less than this counts as responsive. */
     private static final long RESPONSIVE_SILENCE_NANOS = 200 * NANOS_PER_MILLI;
 
+    /** Time for which opening a connection occupies a slot of the endpoint. */
+    private static final long OPENING_MILLIS = 12;
+
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
+    private static final String CALLER_LEFT = "the caller has left";
 
     /** Orders statements by the urgency of their route, then by age. */
     static final Comparator<StatementExecution> BY_URGENCY =
@@ -74,12 +82,14 @@
      * @param route the route from the caller's database name to a database
      * @param settings the session's settings by name
      * @param lastCommit the position of the session's last commit
+     * @param callerHasLeft tells whether nobody waits for the outcome any more
      */
     record SessionContext(
             ClientAccountId account,
             Route route,
             Map<String, String> settings,
-            TermPosition lastCommit) {}
+            TermPosition lastCommit,
+            BooleanSupplier callerHasLeft) {}
 
     /** Receives the outcome of a statement. */
     interface Listener {
@@ -125,13 +135,14 @@
     private Placement fixedPlacement;
     private Placement placement;
     private PooledConnection connection;
-    private EndpointPool.Waiter waiter;
+    private Ticket<EndpointPool.Waiter> waiter;
     private boolean needsPlacement;
     private boolean isInFlight;
     private boolean isTimedOut;
     private boolean isFinished;
     private boolean isRerouting;
     private boolean isAwaitingToken;
+    private boolean isAbandoned;
     private long sentAtNanos;
     private long queuedNanos;
     private String host = "";
@@ -250,28 +261,54 @@
             return;
         }
         needsPlacement = false;
-        if (placement.pool().isFull() || placement.pool().isOverloaded(timeoutNanos)) {
-            fail(SessionError.BUSY, "too many requests wait");
+        Rejection rejection = placement.pool().rejectionFor(admissionRequest());
+        if (rejection != null && !moveToAcceptingEndpoint()) {
+            placement.pool().recordRejection(admissionRequest(), rejection);
+            fail(SessionError.BUSY, rejection.describe());
             return;
         }
         acquireConnection();
     }
 
+    /** Selects another endpoint for a read that the selected one cannot serve in time. */
+    private boolean moveToAcceptingEndpoint() {
+        Set<EndpointId> tried = new HashSet<>(excluded);
+        boolean isFixed = operation.primaryOnly() || fixedPlacement != null;
+        Placement next = isFixed ? null : placement;
+        while (next != null && tried.add(next.pool().target().endpoint())) {
+            next =
+                    engine.selectPlacement(
+                            context.route(),
+                            context.account(),
+                            false,
+                            context.lastCommit(),
+                            tried,
+                            this);
+            if (next != null && next.pool().rejectionFor(admissionRequest()) == null) {
+                placement = next;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private AdmissionRequest admissionRequest() {
+        return new AdmissionRequest(
+                context.route().priority(), context.account(), startedAtNanos + retryWindowNanos());
+    }
+
     private void acquireConnection() {
         waiter = null;
-        EndpointPool.Waiter requested =
+        Ticket<EndpointPool.Waiter> queued =
                 placement.pool().acquire(poolRequest(), this::onConnectionReady);
-        if (connection == null && !isFinished && !needsPlacement) {
-            waiter = requested;
+        if (queued != null) {
+            waiter = queued;
         }
     }
 
     private PoolRequest poolRequest() {
         return new PoolRequest(
-                context.account(),
-                context.route().priority(),
-                startedAtNanos + timeoutNanos,
-                engine.allowedRegions(context.route(), context.account()));
+                admissionRequest(), engine.allowedRegions(context.route(), context.account()));
     }
 
     private void onConnectionReady(PooledConnection ready) {
@@ -282,8 +319,15 @@
             }
             return;
         }
+        if (ready == null && isPastRetryWindow(EventLoop.nowNanos())) {
+            fail(SessionError.BUSY, Rejection.Reason.EXPIRED.text());
+            return;
+        }
         if (ready == null && fixedPlacement != null) {
-            fail(SessionError.NOT_PRIMARY, "the endpoint has left");
+            boolean hasLeft = !placement.pool().takesWork();
+            fail(
+                    hasLeft ? SessionError.NOT_PRIMARY : SessionError.BUSY,
+                    hasLeft ? "the endpoint has left" : Rejection.Reason.DISPLACED.text());
             return;
         }
         if (ready == null) {
@@ -292,7 +336,11 @@
             return;
         }
         connection = ready;
-        send();
+        if (context.callerHasLeft().getAsBoolean()) {
+            fail(SessionError.ABORTED, CALLER_LEFT);
+        } else {
+            send();
+        }
     }
 
     private void send() {
@@ -431,7 +479,10 @@
 
     private void applyDecision(Decision decision, EndpointReply reply) {
         boolean retriesExhausted =
-                isTimedOut || isPastRetryWindow(EventLoop.nowNanos()) || attempts >= MAX_ATTEMPTS;
+                isTimedOut
+                        || isAbandoned
+                        || isPastRetryWindow(EventLoop.nowNanos())
+                        || attempts >= MAX_ATTEMPTS;
         switch (decision.step()) {
             case DELIVER -> finish(reply, null);
             case RETRY_ELSEWHERE -> {
@@ -506,7 +557,11 @@
     }
 
     private boolean isPastRetryWindow(long nowNanos) {
-        return nowNanos - startedAtNanos > (long) (RETRY_WINDOW_SHARE * timeoutNanos);
+        return nowNanos - startedAtNanos >= retryWindowNanos();
+    }
+
+    private long retryWindowNanos() {
+        return (long) (RETRY_WINDOW_SHARE * timeoutNanos);
     }
 
     /** Returns true while the statement is in flight at the group's primary, which responds. */
@@ -525,6 +580,10 @@
             checkReply(nowNanos);
             return;
         }
+        if (!isPinned && context.callerHasLeft().getAsBoolean()) {
+            fail(SessionError.ABORTED, CALLER_LEFT);
+            return;
+        }
         if (isPastRetryWindow(nowNanos)) {
             if (isPinned) {
                 closeConnection();
@@ -574,6 +633,12 @@
             connection.connection().close();
             return;
         }
+        if (isWorthCancelling(nowNanos)) {
+            isAbandoned = true;
+            isRerouting = true;
+            connection.connection().close();
+            return;
+        }
         isTimedOut = nowNanos - startedAtNanos > timeoutNanos;
         isRerouting = !isTimedOut && (isStuck(nowNanos) || isOutrun(nowNanos));
         if (!isTimedOut && !isRerouting) {
@@ -585,6 +650,18 @@
         connection.connection().close();
     }
 
+    /**
+     * Returns true for a read whose caller has left and that takes longer than usual; for a shorter
+     * one, opening another connection would cost the endpoint more than the read.
+     */
+    private boolean isWorthCancelling(long nowNanos) {
+        double averageMillis = connection.pool().health().responseMillis();
+        long worthNanos = (long) (Math.max(OPENING_MILLIS, averageMillis) * NANOS_PER_MILLI);
+        return operation.effect() == Effect.SINGLE_READ
+                && context.callerHasLeft().getAsBoolean()
+                && nowNanos - sentAtNanos > worthNanos;
+    }
+
     /**
      * Returns true when the reply is long overdue and the connection can be closed without an
      * effect that stays: for a read, or a transaction whose commit was not sent.
