--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Attempt.java
@@ -36,8 +36,8 @@
     /** Creates an attempt at a placement; one of an open transaction needs no position. */
     static Attempt of(
             SessionEngine engine,
-            StatementExecution.Operation operation,
-            StatementExecution.SessionContext context,
+            Operation operation,
+            SessionContext context,
             Placement placement,
             boolean isPinned,
             int remainingMillis) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/HostedTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/HostedTransaction.java
@@ -54,7 +54,7 @@
      *
      * @return true when the transaction cannot go on and has to be rolled back, unless it has ended
      */
-    boolean end(StatementExecution.Outcome outcome, Effect effect) {
+    boolean end(StatementOutcome outcome, Effect effect) {
         isBusy = false;
         idleSinceNanos = EventLoop.nowNanos();
         connection = outcome.connection();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -79,16 +79,13 @@
      * @param context the session
      * @param listener receives the outcome
      */
-    void execute(
-            StatementExecution.Operation operation,
-            StatementExecution.SessionContext context,
-            Consumer<StatementExecution.Outcome> listener) {
+    void execute(Operation operation, SessionContext context, Consumer<StatementOutcome> listener) {
         if (hasBegun) {
             send(operation, context, listener);
             return;
         }
-        StatementExecution.Operation begin =
-                new StatementExecution.Operation(
+        Operation begin =
+                new Operation(
                         SessionConnection.OWN_ID,
                         new Statement.Begin(readOnly),
                         null,
@@ -114,9 +111,7 @@
     }
 
     private void send(
-            StatementExecution.Operation operation,
-            StatementExecution.SessionContext context,
-            Consumer<StatementExecution.Outcome> listener) {
+            Operation operation, SessionContext context, Consumer<StatementOutcome> listener) {
         hasWritten |= writes(operation);
         StatementExecution.onConnection(
                         engine,
@@ -140,7 +135,7 @@
                 .start();
     }
 
-    private static boolean writes(StatementExecution.Operation operation) {
+    private static boolean writes(Operation operation) {
         return operation.statement() instanceof Statement.Write
                 || operation.prepared() != null && operation.prepared().writes();
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
@@ -201,15 +201,14 @@
         return isAnonymous || configuration.account(account) != null;
     }
 
-    private static StatementExecution.Operation operation(
-            RelayRequest request, Statement statement, Effect effect) {
+    private static Operation operation(RelayRequest request, Statement statement, Effect effect) {
         Prepared prepared = RelayCodec.decodePrepared(request.getStatement());
-        return new StatementExecution.Operation(
+        return new Operation(
                 request.getRequestId(), statement, prepared, effect, request.getTerm() != 0);
     }
 
     /** Returns a session whose statement timeout is the time that the sender has left. */
-    private static StatementExecution.SessionContext context(RelayRequest request) {
+    private static SessionContext context(RelayRequest request) {
         Route route =
                 new Route(
                         "relayed",
@@ -223,7 +222,7 @@
                         0,
                         false,
                         AllowedRegions.ANY);
-        return new StatementExecution.SessionContext(
+        return new SessionContext(
                 new ClientAccountId(request.getAccountId()),
                 route,
                 Map.copyOf(request.getSettingsMap()),
@@ -233,14 +232,11 @@
 
     /** Creates an execution that reports to a listener. */
     private interface Starter {
-        StatementExecution create(StatementExecution.Listener listener);
+        StatementExecution create(StatementListener listener);
     }
 
     private void run(
-            long correlationId,
-            RelayRequest request,
-            Starter starter,
-            StatementExecution.Listener onEnd) {
+            long correlationId, RelayRequest request, Starter starter, StatementListener onEnd) {
         StatementExecution execution =
                 starter.create(
                         outcome -> {
@@ -252,7 +248,7 @@
         execution.start();
     }
 
-    private void keep(RelayRequest request, StatementExecution.Outcome outcome) {
+    private void keep(RelayRequest request, StatementOutcome outcome) {
         boolean isEnded = endedBeforeBegin.remove(request.getTransactionId()) || isClosed;
         if (outcome.connection() == null) {
             return;
@@ -314,7 +310,7 @@
         }
     }
 
-    private static RelayAnswer toAnswer(StatementExecution.Outcome outcome) {
+    private static RelayAnswer toAnswer(StatementOutcome outcome) {
         long queuedMillis = outcome.queuedNanos() / NANOS_PER_MILLI;
         if (outcome.reply() != null) {
             return RelayCodec.encode(outcome.reply(), true, queuedMillis);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayRules.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayRules.java
@@ -27,15 +27,13 @@
     }
 
     /** Returns true when a host makes another attempt; a read may go to another endpoint. */
-    static boolean mayRetryAtHost(
-            StatementExecution.Operation operation, Reply reply, int attempts) {
+    static boolean mayRetryAtHost(Operation operation, Reply reply, int attempts) {
         boolean hasOtherEndpoints = operation.effect() == Effect.SINGLE_READ && attempts > 1;
         return lacksCapacity(reply) && !hasOtherEndpoints;
     }
 
     /** Returns true when a sender may make another attempt. */
-    static boolean mayRetryAtSender(
-            StatementExecution.Operation operation, Reply reply, boolean wasRelayed) {
+    static boolean mayRetryAtSender(Operation operation, Reply reply, boolean wasRelayed) {
         boolean hostHasRetried = wasRelayed && lacksCapacity(reply);
         return !hostHasRetried || !operation.primaryOnly();
     }
@@ -46,8 +44,8 @@
      */
     static boolean isOutrun(
             SessionEngine engine,
-            StatementExecution.Operation operation,
-            StatementExecution.SessionContext context,
+            Operation operation,
+            SessionContext context,
             Placement placement,
             long waitNanos) {
         if (operation.primaryOnly() || waitNanos <= HOST_WAIT_NANOS) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.chivevale.core.account.ClientAccountId;
+import org.chivevale.core.admission.AdmissionRequest;
 import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.Route;
@@ -246,4 +248,42 @@
     String findRegionExclusion(Route route, ClientAccountId account, boolean primaryOnly) {
         return selector.findRegionExclusion(route, account, primaryOnly);
     }
+
+    /** Returns why a statement can run nowhere, or null when it may wait for an endpoint. */
+    String findRejection(Route route, ClientAccountId account, boolean primaryOnly) {
+        String exclusion = findRegionExclusion(route, account, primaryOnly);
+        return exclusion != null ? exclusion : rejection(route);
+    }
+
+    /**
+     * Finds an endpoint that lets a read wait, other than one that rejects it.
+     *
+     * @param rejecting the placement that rejects it
+     * @param excluded endpoints to leave out
+     * @param requester the statement, for which a token may be requested
+     * @return the placement, or null when none accepts the read
+     */
+    Placement findAccepting(
+            SessionContext context,
+            AdmissionRequest admission,
+            Placement rejecting,
+            Set<EndpointId> excluded,
+            Object requester) {
+        Set<EndpointId> tried = new HashSet<>(excluded);
+        Placement next = rejecting;
+        while (next != null && tried.add(next.pool().target().endpoint())) {
+            next =
+                    selectPlacement(
+                            context.route(),
+                            context.account(),
+                            false,
+                            context.lastCommit(),
+                            tried,
+                            requester);
+            if (next != null && next.pool().rejectionFor(admission) == null) {
+                return next;
+            }
+        }
+        return null;
+    }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -2,24 +2,16 @@
 
 import java.util.Comparator;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
-import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.admission.AdmissionRequest;
 import org.chivevale.core.admission.Rejection;
 import org.chivevale.core.admission.Ticket;
-import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
-import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.AttemptPolicy;
 import org.chivevale.core.interactive.AttemptPolicy.Decision;
-import org.chivevale.core.interactive.Effect;
 import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.SessionError;
-import org.chivevale.core.interactive.Statement;
-import org.chivevale.core.interactive.Statement.Prepared;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.process.EventLoop;
 
@@ -30,26 +22,15 @@
  * <p>Invariants: a statement that may have run and can change data is sent only once; a reply of
  * the primary counts only while this proxy holds a lease and its configuration still names that
  * endpoint as primary in the same term; a statement that could not be sent before {@link
- * #RETRY_WINDOW_SHARE} of its timeout had passed fails as not run; each statement sent to a cold
- * endpoint has spent a warm-up token. Used on the event loop.
+ * StatementDeadline#RETRY_WINDOW_SHARE} of its timeout had passed fails as not run; each statement
+ * sent to a cold endpoint has spent a warm-up token. Used on the event loop.
  */
 final class StatementExecution {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /** Share of the statement timeout after which a waiting statement fails and none is retried. */
-    private static final double RETRY_WINDOW_SHARE = 0.7;
-
-    private static final long SILENCE_LIMIT_NANOS = 400 * NANOS_PER_MILLI;
-
-    /** Multiple of the endpoint's average response time after which a reply is overdue. */
-    private static final int OVERDUE_FACTOR = 5;
-
     /** A primary that has been silent for less than this counts as responsive. */
     private static final long RESPONSIVE_SILENCE_NANOS = 200 * NANOS_PER_MILLI;
 
-    /** Time for which opening a connection occupies a slot of the endpoint. */
-    private static final long OPENING_MILLIS = 12;
-
     private static final long RETRY_DELAY_MILLIS = 12;
     private static final int MAX_ATTEMPTS = 12;
     private static final String CALLER_LEFT = "the caller has left";
@@ -57,80 +38,15 @@
     /** Orders statements by the urgency of their route, then by age. */
     static final Comparator<StatementExecution> BY_URGENCY =
             Comparator.<StatementExecution>comparingInt(each -> each.context.route().priority())
-                    .thenComparingLong(each -> each.startedAtNanos);
-
-    /**
-     * A statement to execute.
-     *
-     * @param id the request id that the caller gave
-     * @param statement the statement
-     * @param prepared the prepared statement that it executes; null for others
-     * @param effect what it can change
-     * @param primaryOnly true when it may run at the primary only
-     */
-    record Operation(
-            String id,
-            Statement statement,
-            Prepared prepared,
-            Effect effect,
-            boolean primaryOnly) {}
-
-    /**
-     * The session for which a statement runs.
-     *
-     * @param account the client account that it runs for
-     * @param route the route from the caller's database name to a database
-     * @param settings the session's settings by name
-     * @param lastCommit the position of the session's last commit
-     * @param callerHasLeft tells whether nobody waits for the outcome any more
-     */
-    record SessionContext(
-            ClientAccountId account,
-            Route route,
-            Map<String, String> settings,
-            TermPosition lastCommit,
-            BooleanSupplier callerHasLeft) {}
-
-    /** Receives the outcome of a statement. */
-    interface Listener {
-        /**
-         * Handles the outcome; a connection in it stays in use and must be released.
-         *
-         * @param outcome how the statement ended
-         */
-        void onComplete(Outcome outcome);
-    }
-
-    /**
-     * How a statement ended.
-     *
-     * @param reply the endpoint's reply; null when there is none that counts
-     * @param error the error for the caller; null for success
-     * @param detail the reason of the error or of the last failed attempt
-     * @param connection the connection that is still in use; null when released or closed
-     * @param placement where it ran last; null when no endpoint was selected
-     * @param attempts how often it was sent
-     * @param queuedNanos how long it waited before it was first sent
-     * @param host the proxy over whose connections it was sent last; empty for this one
-     */
-    record Outcome(
-            EndpointReply reply,
-            SessionError error,
-            String detail,
-            PooledConnection connection,
-            Placement placement,
-            int attempts,
-            long queuedNanos,
-            String host) {}
+                    .thenComparingLong(each -> each.deadline.startedAtNanos());
 
     private final SessionEngine engine;
     private final Operation operation;
     private final SessionContext context;
-    private final Listener listener;
+    private final StatementListener listener;
     private final boolean isPinned;
     private final boolean holdsConnection;
-    private final long startedAtNanos = EventLoop.nowNanos();
-    private final long timeoutNanos;
+    private final StatementDeadline deadline;
     private final Set<EndpointId> excluded = new HashSet<>();
     private Placement fixedPlacement;
     private Placement placement;
@@ -156,7 +72,7 @@
             PooledConnection connection,
             Placement placement,
             boolean holdConnection,
-            Listener listener) {
+            StatementListener listener) {
         this.engine = engine;
         this.operation = operation;
         this.context = context;
@@ -165,7 +81,10 @@
         this.isPinned = connection != null;
         this.holdsConnection = holdConnection || isPinned;
         this.listener = listener;
-        this.timeoutNanos = context.route().statementTimeoutMillis() * NANOS_PER_MILLI;
+        this.deadline =
+                new StatementDeadline(
+                        EventLoop.nowNanos(),
+                        context.route().statementTimeoutMillis() * NANOS_PER_MILLI);
     }
 
     /**
@@ -177,7 +96,7 @@
             Operation operation,
             SessionContext context,
             boolean holdConnection,
-            Listener listener) {
+            StatementListener listener) {
         return new StatementExecution(
                 engine, operation, context, null, null, holdConnection, listener);
     }
@@ -192,7 +111,7 @@
             SessionContext context,
             Placement fixed,
             boolean holdConnection,
-            Listener listener) {
+            StatementListener listener) {
         StatementExecution execution =
                 onAnyEndpoint(engine, operation, context, holdConnection, listener);
         execution.fixedPlacement = fixed;
@@ -206,7 +125,7 @@
             SessionContext context,
             PooledConnection connection,
             Placement placement,
-            Listener listener) {
+            StatementListener listener) {
         return new StatementExecution(
                 engine, operation, context, connection, placement, true, listener);
     }
@@ -241,14 +160,9 @@
                                 excluded,
                                 this);
         if (placement == null) {
-            String exclusion =
-                    engine.findRegionExclusion(
+            String rejection =
+                    engine.findRejection(
                             context.route(), context.account(), operation.primaryOnly());
-            if (exclusion != null) {
-                fail(SessionError.BUSY, exclusion);
-                return;
-            }
-            String rejection = engine.rejection(context.route());
             if (rejection != null) {
                 fail(SessionError.BUSY, rejection);
                 return;
@@ -272,29 +186,19 @@
 
     /** Selects another endpoint for a read that the selected one cannot serve in time. */
     private boolean moveToAcceptingEndpoint() {
-        Set<EndpointId> tried = new HashSet<>(excluded);
         boolean isFixed = operation.primaryOnly() || fixedPlacement != null;
-        Placement next = isFixed ? null : placement;
-        while (next != null && tried.add(next.pool().target().endpoint())) {
-            next =
-                    engine.selectPlacement(
-                            context.route(),
-                            context.account(),
-                            false,
-                            context.lastCommit(),
-                            tried,
-                            this);
-            if (next != null && next.pool().rejectionFor(admissionRequest()) == null) {
-                placement = next;
-                return true;
-            }
-        }
-        return false;
+        Placement next =
+                isFixed
+                        ? null
+                        : engine.findAccepting(
+                                context, admissionRequest(), placement, excluded, this);
+        placement = next == null ? placement : next;
+        return next != null;
     }
 
     private AdmissionRequest admissionRequest() {
         return new AdmissionRequest(
-                context.route().priority(), context.account(), startedAtNanos + retryWindowNanos());
+                context.route().priority(), context.account(), deadline.retryWindowEndNanos());
     }
 
     private void acquireConnection() {
@@ -319,7 +223,7 @@
             }
             return;
         }
-        if (ready == null && isPastRetryWindow(EventLoop.nowNanos())) {
+        if (ready == null && deadline.isPastRetryWindow(EventLoop.nowNanos())) {
             fail(SessionError.BUSY, Rejection.Reason.EXPIRED.text());
             return;
         }
@@ -373,20 +277,21 @@
         isRerouting = false;
         sentAtNanos = EventLoop.nowNanos();
         if (attempts == 1) {
-            queuedNanos = sentAtNanos - startedAtNanos;
+            queuedNanos = sentAtNanos - deadline.startedAtNanos();
         }
         PooledConnection used = connection;
         used.recordSent(sentAtNanos);
         used.execute(
-                Attempt.of(engine, operation, context, placement, isPinned, remainingMillis()),
+                Attempt.of(
+                        engine,
+                        operation,
+                        context,
+                        placement,
+                        isPinned,
+                        deadline.remainingMillis(sentAtNanos)),
                 reply -> onReply(used, reply));
     }
 
-    private int remainingMillis() {
-        long remainingNanos = timeoutNanos - (sentAtNanos - startedAtNanos);
-        return (int) Math.max(1, remainingNanos / NANOS_PER_MILLI);
-    }
-
     /**
      * Returns true when the statement has to wait for a warm-up token. It is spent once the
      * connection is open, so that the statement leaves at once; a failed connection needs none, and
@@ -456,7 +361,7 @@
             used.recordReply(reply, sentAtNanos);
         }
         engine.recordPosition(placement, reply, sentAtNanos);
-        EndpointReply effective = asLostIfReplaced(reply);
+        EndpointReply effective = ReplyRules.asLostIfReplaced(engine, placement, reply);
         lastDetail = effective.detail();
         Decision decision = AttemptPolicy.decide(operation.effect(), effective.reply());
         if (!decision.keepConnection()) {
@@ -465,23 +370,11 @@
         applyDecision(decision, effective);
     }
 
-    /**
-     * Treats a reply of a primary that has been replaced as lost: what it ran may not survive the
-     * failover.
-     */
-    private EndpointReply asLostIfReplaced(EndpointReply reply) {
-        boolean ran = reply.reply().mayHaveRun();
-        if (ran && reply.reply() != Reply.LOST && !engine.isCurrent(placement)) {
-            return EndpointReply.withoutResponse(Reply.LOST, "the primary was replaced meanwhile");
-        }
-        return reply;
-    }
-
     private void applyDecision(Decision decision, EndpointReply reply) {
         boolean retriesExhausted =
                 isTimedOut
                         || isAbandoned
-                        || isPastRetryWindow(EventLoop.nowNanos())
+                        || deadline.isPastRetryWindow(EventLoop.nowNanos())
                         || attempts >= MAX_ATTEMPTS;
         switch (decision.step()) {
             case DELIVER -> finish(reply, null);
@@ -556,14 +449,6 @@
         }
     }
 
-    private boolean isPastRetryWindow(long nowNanos) {
-        return nowNanos - startedAtNanos >= retryWindowNanos();
-    }
-
-    private long retryWindowNanos() {
-        return (long) (RETRY_WINDOW_SHARE * timeoutNanos);
-    }
-
     /** Returns true while the statement is in flight at the group's primary, which responds. */
     boolean isInFlightAtPrimary(GroupId group, long nowNanos) {
         return isInFlight
@@ -584,7 +469,7 @@
             fail(SessionError.ABORTED, CALLER_LEFT);
             return;
         }
-        if (isPastRetryWindow(nowNanos)) {
+        if (deadline.isPastRetryWindow(nowNanos)) {
             if (isPinned) {
                 closeConnection();
                 fail(SessionError.ABORTED, "no slot in time");
@@ -633,57 +518,30 @@
             connection.connection().close();
             return;
         }
-        if (isWorthCancelling(nowNanos)) {
+        long waitNanos = nowNanos - sentAtNanos;
+        if (ReplyRules.isWorthCancelling(operation, context, connection, waitNanos)) {
             isAbandoned = true;
             isRerouting = true;
             connection.connection().close();
             return;
         }
-        isTimedOut = nowNanos - startedAtNanos > timeoutNanos;
-        isRerouting = !isTimedOut && (isStuck(nowNanos) || isOutrun(nowNanos));
+        isTimedOut = deadline.isPast(nowNanos);
+        boolean isSlow =
+                ReplyRules.isStuck(operation, connection, waitNanos) || isOutrun(waitNanos);
+        isRerouting = !isTimedOut && isSlow;
         if (!isTimedOut && !isRerouting) {
             return;
         }
-        if (connection.pool().health().silenceNanos(nowNanos) > SILENCE_LIMIT_NANOS) {
+        if (connection.pool().health().silenceNanos(nowNanos) > ReplyRules.SILENCE_LIMIT_NANOS) {
             connection.pool().closeIdleSinceBefore(sentAtNanos);
         }
         connection.connection().close();
     }
 
-    /**
-     * Returns true for a read whose caller has left and that takes longer than usual; for a shorter
-     * one, opening another connection would cost the endpoint more than the read.
-     */
-    private boolean isWorthCancelling(long nowNanos) {
-        double averageMillis = connection.pool().health().responseMillis();
-        long worthNanos = (long) (Math.max(OPENING_MILLIS, averageMillis) * NANOS_PER_MILLI);
-        return operation.effect() == Effect.SINGLE_READ
-                && context.callerHasLeft().getAsBoolean()
-                && nowNanos - sentAtNanos > worthNanos;
-    }
-
-    /**
-     * Returns true when the reply is long overdue and the connection can be closed without an
-     * effect that stays: for a read, or a transaction whose commit was not sent.
-     */
-    private boolean isStuck(long nowNanos) {
-        boolean noLastingEffect =
-                operation.effect() == Effect.SINGLE_READ
-                        || operation.effect() == Effect.BEGIN
-                        || operation.effect() == Effect.IN_TRANSACTION;
-        long averageNanos = (long) (connection.pool().health().responseMillis() * NANOS_PER_MILLI);
-        long overdueNanos = Math.max(SILENCE_LIMIT_NANOS, OVERDUE_FACTOR * averageNanos);
-        if (connection.isHostResponsive(SILENCE_LIMIT_NANOS)) {
-            return false;
-        }
-        return noLastingEffect && nowNanos - sentAtNanos > overdueNanos;
-    }
-
-    private boolean isOutrun(long nowNanos) {
+    private boolean isOutrun(long waitNanos) {
         return connection.isRelayed()
                 && !isPinned
-                && RelayRules.isOutrun(
-                        engine, operation, context, placement, nowNanos - sentAtNanos);
+                && RelayRules.isOutrun(engine, operation, context, placement, waitNanos);
     }
 
     /** Closes the connection; the endpoint rolls back the transaction open on it. */
@@ -720,7 +578,7 @@
             releaseConnection(true);
         }
         listener.onComplete(
-                new Outcome(
+                new StatementOutcome(
                         reply,
                         error,
                         lastDetail,
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
@@ -80,15 +80,15 @@
             Consumer<Result> done) {
         long startedNanos = EventLoop.nowNanos();
         boolean primaryOnly = request.writes() || route.readPolicy() == ReadPolicy.PRIMARY;
-        StatementExecution.Operation operation =
-                new StatementExecution.Operation(
+        Operation operation =
+                new Operation(
                         request.id(),
                         request.statement(),
                         request.prepared(),
                         request.writes() ? Effect.SINGLE_WRITE : Effect.SINGLE_READ,
                         primaryOnly);
-        StatementExecution.SessionContext context =
-                new StatementExecution.SessionContext(
+        SessionContext context =
+                new SessionContext(
                         account, route, state.settings(), state.lastCommit(), state::callerHasLeft);
         StatementExecution.onAnyEndpoint(
                         engine,
@@ -117,11 +117,10 @@
             SessionState state,
             Consumer<Result> done) {
         long startedNanos = EventLoop.nowNanos();
-        StatementExecution.Operation operation =
-                new StatementExecution.Operation(
-                        request.id(), request.statement(), request.prepared(), effect, false);
-        StatementExecution.SessionContext context =
-                new StatementExecution.SessionContext(
+        Operation operation =
+                new Operation(request.id(), request.statement(), request.prepared(), effect, false);
+        SessionContext context =
+                new SessionContext(
                         transaction.accountId(),
                         transaction.route(),
                         state.settings(),
@@ -136,7 +135,7 @@
         return host.isEmpty() ? endpoint : endpoint + " host=" + host;
     }
 
-    private static Result toResult(StatementExecution.Outcome outcome, long startedNanos) {
+    private static Result toResult(StatementOutcome outcome, long startedNanos) {
         EndpointReply reply = outcome.reply();
         Placement placement = outcome.placement();
         boolean success = outcome.error() == null;
