Keep delayed announcements from changing registrations

EndpointRegistry#deregister forgot the incarnation and sequence of an endpoint, and both were kept in memory only, so a delayed announcement registered an endpoint that had left or been replaced.

EndpointRemoved carries the incarnation that left and EndpointPut the sequence of its announcement. A proposal checks again once it is first in the queue.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
@@ -19,9 +19,10 @@
 /**
  * Registers endpoints by announcements that carry an incarnation and a sequence number.
  *
- * <p>Invariants: an announcement older than the last accepted one changes nothing; of two endpoints
- * at one address, the one with the later incarnation wins; changes are committed to the log before
- * they are acknowledged, so that a new leader knows them. Used on the event loop.
+ * <p>Invariants: an announcement older than the last accepted one, or of an incarnation that has
+ * left, changes nothing; of two endpoints at one address, the one with the later incarnation wins;
+ * changes are committed to the log before they are acknowledged, so that a new leader knows them.
+ * The log keeps the incarnations and sequences that decide this. Used on the event loop.
  */
 public final class EndpointRegistry {
     private static final Logger LOG = Logger.getLogger(EndpointRegistry.class);
@@ -60,7 +61,7 @@
     public Future<Void> announce(InstanceAnnouncement announced, long sequence) {
         Configuration now = log.state().configuration();
         EndpointPut known = now.endpoint(announced.group(), announced.endpoint());
-        if (isOutdated(announced, sequence, known) || findSuccessor(now, announced) != null) {
+        if (isOutdated(announced, sequence) || isSuperseded(now, announced, sequence)) {
             LOG.infof(
                     "ignored outdated announcement of %s: incarnation %d, sequence %d",
                     announced.endpoint(), announced.incarnation(), sequence);
@@ -69,8 +70,8 @@
         lastAnnouncements.put(
                 announced.endpoint().value(),
                 new LastAnnouncement(announced.incarnation(), sequence));
-        EndpointPut wanted = endpointPut(announced);
-        if (wanted.equals(known)) {
+        EndpointPut wanted = endpointPut(announced, sequence);
+        if (isRegistered(wanted, known)) {
             markAlive(announced);
             return Future.succeededFuture();
         }
@@ -79,10 +80,28 @@
                 .mapEmpty();
     }
 
-    private boolean isOutdated(InstanceAnnouncement announced, long sequence, EndpointPut known) {
+    private boolean isOutdated(InstanceAnnouncement announced, long sequence) {
         LastAnnouncement last = lastAnnouncements.get(announced.endpoint().value());
-        boolean outdated = last != null && last.isAtLeast(announced.incarnation(), sequence);
-        return outdated || known != null && known.getIncarnation() > announced.incarnation();
+        return last != null && last.isAtLeast(announced.incarnation(), sequence);
+    }
+
+    /** Tells whether the log shows that a later announcement was accepted or the endpoint left. */
+    private static boolean isSuperseded(
+            Configuration now, InstanceAnnouncement announced, long sequence) {
+        EndpointPut known = now.endpoint(announced.group(), announced.endpoint());
+        boolean later =
+                known != null
+                        && new LastAnnouncement(known.getIncarnation(), known.getSequence())
+                                .isAtLeast(announced.incarnation(), sequence);
+        return later
+                || now.hasLeft(announced.group(), announced.endpoint(), announced.incarnation())
+                || findSuccessor(now, announced) != null;
+    }
+
+    /** Tells whether a registration says the same; the sequence alone is no reason to write it. */
+    private static boolean isRegistered(EndpointPut wanted, EndpointPut known) {
+        return known != null
+                && wanted.equals(known.toBuilder().setSequence(wanted.getSequence()).build());
     }
 
     /** Finds an endpoint with a later incarnation at the same address; null if there is none. */
@@ -108,23 +127,27 @@
             Configuration now, InstanceAnnouncement announced, EndpointPut wanted) {
         boolean databaseExists = now.database(announced.group().database()) != null;
         if (!databaseExists
-                || wanted.equals(now.endpoint(announced.group(), announced.endpoint()))) {
+                || isSuperseded(now, announced, wanted.getSequence())
+                || isRegistered(wanted, now.endpoint(announced.group(), announced.endpoint()))) {
             return List.of();
         }
         List<Change> changes = new ArrayList<>();
         for (EndpointPut other : now.endpoints()) {
             if (isOtherAtSameAddress(other, announced)) {
-                changes.add(removal(other.getEndpointId(), other.getGroupId()));
+                changes.add(removal(other));
             }
         }
         changes.add(Change.newBuilder().setEndpointPut(wanted).build());
         return changes;
     }
 
-    private static Change removal(String endpointId, String groupId) {
+    private static Change removal(EndpointPut last) {
         return Change.newBuilder()
                 .setEndpointRemoved(
-                        EndpointRemoved.newBuilder().setEndpointId(endpointId).setGroupId(groupId))
+                        EndpointRemoved.newBuilder()
+                                .setEndpointId(last.getEndpointId())
+                                .setGroupId(last.getGroupId())
+                                .setIncarnation(last.getIncarnation()))
                 .build();
     }
 
@@ -172,7 +195,7 @@
     private static List<Change> removals(Configuration now, EndpointId endpoint) {
         return now.endpoints().stream()
                 .filter(put -> put.getEndpointId().equals(endpoint.value()))
-                .map(put -> removal(put.getEndpointId(), put.getGroupId()))
+                .map(EndpointRegistry::removal)
                 .toList();
     }
 
@@ -187,7 +210,7 @@
         LOG.infof("endpoint %s deregistered", endpoint);
     }
 
-    private static EndpointPut endpointPut(InstanceAnnouncement announced) {
+    private static EndpointPut endpointPut(InstanceAnnouncement announced, long sequence) {
         return EndpointPut.newBuilder()
                 .setEndpointId(announced.endpoint().value())
                 .setGroupId(announced.group().toString())
@@ -199,6 +222,7 @@
                 .setPrimary(announced.primary())
                 .setLeaving(announced.shuttingDown())
                 .setConnectionLimit(announced.connectionLimit())
+                .setSequence(sequence)
                 .build();
     }
 
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -23,7 +23,6 @@
 import org.chivevale.wire.proto.DatabasePut;
 import org.chivevale.wire.proto.DesiredStored;
 import org.chivevale.wire.proto.EndpointPut;
-import org.chivevale.wire.proto.EndpointRemoved;
 import org.chivevale.wire.proto.EvacuationPut;
 import org.chivevale.wire.proto.FailoverStep;
 import org.chivevale.wire.proto.GroupState;
@@ -31,7 +30,6 @@
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.OpenRoutePut;
 import org.chivevale.wire.proto.PlanStored;
-import org.chivevale.wire.proto.SessionLimitsPut;
 
 /**
  * The configuration that results from applying the committed log entries in order.
@@ -53,7 +51,7 @@
     private final Map<String, FailoverStep> failovers = new TreeMap<>();
     private final Map<String, PlanStored> plans = new LinkedHashMap<>();
     private final RouteTable routes = new RouteTable();
-    private final Map<String, EndpointPut> endpoints = new TreeMap<>();
+    private final EndpointTable endpoints = new EndpointTable();
     private final Map<String, Evacuation> evacuations = new TreeMap<>();
     private SessionLimits sessionLimits = SessionLimits.DEFAULT;
     private DesiredStored desired = DesiredStored.getDefaultInstance();
@@ -126,11 +124,12 @@
             case PLAN_STORED -> putPlan(change.getPlanStored());
             case ROUTE_PUT -> routes.put(change.getRoutePut());
             case ROUTE_REMOVED -> routes.remove(change.getRouteRemoved().getName());
-            case SESSION_LIMITS_PUT -> putSessionLimits(change.getSessionLimitsPut());
+            case SESSION_LIMITS_PUT ->
+                    sessionLimits = SessionLimits.of(change.getSessionLimitsPut());
             case DATABASE_REMOVED -> removeDatabase(change.getDatabaseRemoved().getDatabase());
             case DESIRED_STORED -> desired = change.getDesiredStored();
-            case ENDPOINT_PUT -> putEndpoint(change.getEndpointPut());
-            case ENDPOINT_REMOVED -> removeEndpoint(change.getEndpointRemoved());
+            case ENDPOINT_PUT -> endpoints.put(change.getEndpointPut());
+            case ENDPOINT_REMOVED -> endpoints.remove(change.getEndpointRemoved());
             case EVACUATION_PUT -> putEvacuation(change.getEvacuationPut());
             case EVACUATION_REMOVED ->
                     evacuations.remove(change.getEvacuationRemoved().getDataCenter());
@@ -182,24 +181,11 @@
                         put.getWarmupRatePerSecond()));
     }
 
-    private void putSessionLimits(SessionLimitsPut put) {
-        sessionLimits =
-                new SessionLimits(put.getTransactionIdleMillis(), put.getSessionIdleMillis());
-    }
-
     private void removeDatabase(String name) {
         databases.remove(name);
         groups.values().removeIf(group -> group.id().database().equals(name));
         failovers.keySet().removeIf(group -> GroupId.parse(group).database().equals(name));
-        endpoints.values().removeIf(put -> GroupId.parse(put.getGroupId()).database().equals(name));
-    }
-
-    private void putEndpoint(EndpointPut put) {
-        endpoints.put(put.getGroupId() + "/" + put.getEndpointId(), put);
-    }
-
-    private void removeEndpoint(EndpointRemoved removed) {
-        endpoints.remove(removed.getGroupId() + "/" + removed.getEndpointId());
+        endpoints.removeDatabase(name);
     }
 
     private void putEvacuation(EvacuationPut put) {
@@ -539,7 +525,7 @@
      * @return a read-only view; empty in proxies
      */
     public Collection<EndpointPut> endpoints() {
-        return Collections.unmodifiableCollection(endpoints.values());
+        return endpoints.all();
     }
 
     /**
@@ -550,7 +536,23 @@
      * @return the announcement, or null
      */
     public EndpointPut endpoint(GroupId group, EndpointId endpoint) {
-        return endpoints.get(group + "/" + endpoint);
+        return endpoints.find(group.toString(), endpoint.value());
+    }
+
+    /**
+     * Tells whether an incarnation of an endpoint has left.
+     *
+     * @param group the database group
+     * @param endpoint the endpoint
+     * @param incarnation the incarnation
+     * @return true if it or a later one has left, and the endpoint has not registered since
+     */
+    public boolean hasLeft(GroupId group, EndpointId endpoint, long incarnation) {
+        return endpoints.hasLeft(group.toString(), endpoint.value(), incarnation);
+    }
+
+    EndpointTable endpointTable() {
+        return endpoints;
     }
 
     /**
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/ConfigurationWriter.java
@@ -87,6 +87,9 @@
                 .values()
                 .forEach(step -> out.addChanges(Change.newBuilder().setFailoverStep(step)));
         source.endpoints().forEach(put -> out.addChanges(Change.newBuilder().setEndpointPut(put)));
+        source.endpointTable()
+                .removed()
+                .forEach(left -> out.addChanges(Change.newBuilder().setEndpointRemoved(left)));
         source.plans().forEach(plan -> out.addChanges(Change.newBuilder().setPlanStored(plan)));
     }
 
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/SessionLimits.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/SessionLimits.java
@@ -1,5 +1,7 @@
 package org.chivevale.core.config;
 
+import org.chivevale.wire.proto.SessionLimitsPut;
+
 /**
  * Idle limits of sessions.
  *
@@ -11,4 +13,8 @@
 public record SessionLimits(int transactionIdleMillis, int sessionIdleMillis) {
     /** In force until a configuration sets other limits. */
     public static final SessionLimits DEFAULT = new SessionLimits(3000, 15_000);
+
+    static SessionLimits of(SessionLimitsPut put) {
+        return new SessionLimits(put.getTransactionIdleMillis(), put.getSessionIdleMillis());
+    }
 }
