Close a pool's connections to an earlier address

InstancePool#setAddress closed idle connections only; those in use or being opened to the old address went back to the pool, and a failure to reach it failed the waiting requests. The pool now keeps the set of connections to the current address and discards others when they are released or open.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
@@ -3,8 +3,11 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.chivevale.core.account.ClientAccountId;
@@ -21,8 +24,9 @@
  * Pool of this proxy's connections to one instance, within the share that control grants.
  *
  * <p>Invariants: open connections never exceed the share, except for those in use when it was
- * reduced; a connection is used by one request at a time; waiting requests are served round robin
- * by client account. Used on the event loop.
+ * reduced; a connection is used by one request at a time; no request starts on a connection to an
+ * earlier address; waiting requests are served round robin by client account. Used on the event
+ * loop.
  */
 public final class InstancePool {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -35,6 +39,11 @@
     private final FairQueue<WaitingRequest> queue;
     private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
     private final Runnable onShareExceeded;
+
+    /** Connections to the current address; others are closed once they are released. */
+    private final Set<DatabaseConnection> connectionsToAddress =
+            Collections.newSetFromMap(new IdentityHashMap<>());
+
     private HostPort address;
     private int share;
     private int openConnections;
@@ -143,25 +152,33 @@
             return;
         }
         openConnections++;
+        HostPort target = address;
         connector
                 .connect(address.host(), address.port(), key.group(), this::onConnectionClosed)
                 .onComplete(
                         ended -> {
                             if (ended.succeeded()) {
-                                onOpened(ended.result());
+                                onOpened(target, ended.result());
                             } else {
-                                onOpenFailed(ended.cause());
+                                onOpenFailed(target, ended.cause());
                             }
                         });
     }
 
-    private void onOpened(DatabaseConnection connection) {
-        stats.recordResponse(stats.responseNanos(), EventLoop.nowNanos());
+    private void onOpened(HostPort target, DatabaseConnection connection) {
+        if (target.equals(address)) {
+            connectionsToAddress.add(connection);
+            stats.recordResponse(stats.responseNanos(), EventLoop.nowNanos());
+        }
         recycle(connection);
     }
 
-    private void onOpenFailed(Throwable failure) {
+    private void onOpenFailed(HostPort target, Throwable failure) {
         openConnections--;
+        if (!target.equals(address)) {
+            openIfNeeded();
+            return;
+        }
         long now = EventLoop.nowNanos();
         connectAfterNanos = now + CONNECT_BACKOFF_MILLIS * NANOS_PER_MILLI;
         if (openConnections == 0) {
@@ -180,8 +197,10 @@
     private void onConnectionClosed() {
         Iterator<IdleConnection> candidates = idleConnections.iterator();
         while (candidates.hasNext()) {
-            if (!candidates.next().connection().usable()) {
+            DatabaseConnection candidate = candidates.next().connection();
+            if (!candidate.usable()) {
                 candidates.remove();
+                connectionsToAddress.remove(candidate);
                 openConnections--;
             }
         }
@@ -225,9 +244,9 @@
     }
 
     private void recycle(DatabaseConnection connection) {
-        if (!connection.usable() || openConnections > share || isClosed) {
-            connection.close();
-            openConnections--;
+        boolean isKept = connection.usable() && connectionsToAddress.contains(connection);
+        if (!isKept || openConnections > share || isClosed) {
+            discard(connection);
             openIfNeeded();
             return;
         }
@@ -240,6 +259,12 @@
         next.promise().complete(connection);
     }
 
+    private void discard(DatabaseConnection connection) {
+        connectionsToAddress.remove(connection);
+        connection.close();
+        openConnections--;
+    }
+
     /** Rejects waiting requests past their deadline and opens a connection if one is needed. */
     void tick() {
         for (WaitingRequest expired : queue.expire(EventLoop.nowNanos())) {
@@ -279,8 +304,7 @@
     void setShare(int newShare) {
         share = newShare;
         while (openConnections > share && !idleConnections.isEmpty()) {
-            idleConnections.removeLast().connection().close();
-            openConnections--;
+            discard(idleConnections.removeLast().connection());
         }
         openIfNeeded();
     }
@@ -295,7 +319,8 @@
     }
 
     /**
-     * Sets the address of the instance; closes the idle connections to an earlier one.
+     * Sets the address of the instance; closes the connections to an earlier one, those in use and
+     * those being opened once they are released or open.
      *
      * @param newAddress the address to open connections to
      */
@@ -303,13 +328,14 @@
         if (!newAddress.equals(address)) {
             address = newAddress;
             closeIdle();
+            connectionsToAddress.clear();
+            connectAfterNanos = EventLoop.nowNanos();
         }
     }
 
     private void closeIdle() {
         while (!idleConnections.isEmpty()) {
-            idleConnections.removeFirst().connection().close();
-            openConnections--;
+            discard(idleConnections.removeFirst().connection());
         }
     }
 
