Drop messages of the log that make no sense

A message whose sender could not be parsed was accepted as leader, after which RaftNode#leader threw for every renewal; answers and requests with indexes out of range led to gaps. MessageCheck drops them before they are handled.

RaftNonsenseTest failed before (IllegalArgumentException in leader()), passes now; RaftProperties: 8 of 8 pass.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -282,6 +282,12 @@
         if (closed || !isAddressedToSelf(message)) {
             return;
         }
+        long lastIndex = role == Role.LEADER ? log.lastIndex() : MessageCheck.MAX_NUMBER;
+        String fault = MessageCheck.findFault(message, lastIndex);
+        if (fault != null) {
+            LOG.debugf("dropped a message of the log: %s", fault);
+            return;
+        }
         handle(message);
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -23,6 +23,7 @@
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
+import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.EventLoop;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.LogEntry;
@@ -179,8 +180,15 @@
      * @param message the received message
      */
     public void handleRaftMessage(RaftMessage message) {
+        HostPort sender;
+        try {
+            sender = MemberId.parse(message.getFrom()).address();
+        } catch (ChivevaleException | IllegalArgumentException e) {
+            LOG.debugf("dropped a message of the log: %s", e.getMessage());
+            return;
+        }
         if (transport != null) {
-            transport.recordReceived(MemberId.parse(message.getFrom()).address());
+            transport.recordReceived(sender);
         }
         runGuarded(() -> log.receive(message));
     }
