Answer and survive requests and answers that make no sense

ControlLink never renewed again after an answer whose fence could not be parsed, since the renewal counted as answered; such an answer now counts as none. FleetService answers every request that it cannot handle and refuses a proxy without id. A body that ends early is a malformed request, not an internal error.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -11,6 +11,7 @@
 import org.chivevale.control.ControlSettings;
 import org.chivevale.control.internal.log.ControlState;
 import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.failover.FailureDetector;
 import org.chivevale.core.group.EndpointId;
@@ -34,6 +35,7 @@
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.RenewAnswer;
 import org.chivevale.wire.proto.RenewRequest;
+import org.jboss.logging.Logger;
 
 /**
  * Grants leases to proxies and distributes configuration, membership, connection shares and rates.
@@ -44,6 +46,8 @@
     /** Name in the kernel. */
     public static final String NAME = "fleet";
 
+    private static final Logger LOG = Logger.getLogger(FleetService.class);
+
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 40;
     private static final long EXPIRY_INTERVAL_MILLIS = 250;
@@ -306,6 +310,17 @@
 
     private void answer(FrameConnection connection, Frame frame) {
         Frame.Builder answer = Frame.newBuilder().setCorrelationId(frame.getCorrelationId());
+        try {
+            addAnswer(connection, frame, answer);
+        } catch (RuntimeException e) {
+            LOG.warnf("cannot answer a %s: %s", frame.getBodyCase(), e);
+            answer.setErrorAnswer(
+                    ErrorAnswer.newBuilder().setCode(ResultCode.MALFORMED_REQUEST.number()));
+        }
+        connection.send(answer.build());
+    }
+
+    private void addAnswer(FrameConnection connection, Frame frame, Frame.Builder answer) {
         switch (frame.getBodyCase()) {
             case RENEW_REQUEST -> {
                 connections.put(connection, frame.getRenewRequest().getEndpointsOnly());
@@ -320,10 +335,12 @@
                                     .setCode(ResultCode.MALFORMED_REQUEST.number())
                                     .setMessage("unexpected request " + frame.getBodyCase()));
         }
-        connection.send(answer.build());
     }
 
     private RenewAnswer renewLease(RenewRequest request) {
+        if (request.getProxyId().isEmpty()) {
+            throw new ChivevaleException(ResultCode.MALFORMED_REQUEST, "no proxy id");
+        }
         long now = EventLoop.nowNanos();
         renewals.increment();
         ProxyMemberState proxy = proxyState(request);
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -77,7 +77,8 @@
     }
 
     /**
-     * Replaces the configuration with a snapshot; ignores an older one.
+     * Replaces the configuration with a snapshot; ignores an older one. Leaves version 0 on
+     * failure.
      *
      * @param snapshot a result of {@link #snapshot}
      */
@@ -85,6 +86,7 @@
         if (snapshot.getVersion() < version) {
             return;
         }
+        version = 0;
         accounts.clear();
         keys.clear();
         databases.clear();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -269,7 +269,7 @@
         switch (frame.getBodyCase()) {
             case RENEW_ANSWER -> {
                 if (frame.getCorrelationId() == sequence && isRenewing && !responseReceived) {
-                    handleRenewal(frame.getRenewAnswer());
+                    runGuarded(() -> handleRenewal(frame.getRenewAnswer()));
                 }
             }
             case RATE_ANSWER -> {
@@ -298,6 +298,16 @@
         }
     }
 
+    /** Runs a step of a renewal; an answer that cannot be applied counts as none. */
+    private void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.warn("cannot apply an answer of control", e);
+            retryAtNextAddress();
+        }
+    }
+
     private void handleRenewal(RenewAnswer answer) {
         long now = EventLoop.nowNanos();
         responseReceived = true;
@@ -329,7 +339,9 @@
             loop.vertx()
                     .setTimer(
                             FENCE_POLL_MILLIS,
-                            timer -> applyAfterReplies(answer, fenced, sinceNanos));
+                            timer ->
+                                    runGuarded(
+                                            () -> applyAfterReplies(answer, fenced, sinceNanos)));
             return;
         }
         apply(answer);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -57,7 +57,8 @@
     }
 
     /**
-     * Applies a granted renewal: first configuration and members, then the lease.
+     * Applies a granted renewal: first configuration and members, then the lease. Drops the lease
+     * and fails if the configuration cannot be applied.
      *
      * @param answer the response
      * @param sentAtNanos when the request was sent, on the monotonic clock
@@ -66,12 +67,7 @@
         fencing.clear();
         proxyCount = answer.getProxyCount();
         long versionBefore = configuration.version();
-        if (answer.hasSnapshot()) {
-            configuration.restore(answer.getSnapshot());
-        }
-        for (LogEntry entry : answer.getEntriesList()) {
-            configuration.apply(entry);
-        }
+        applyConfiguration(answer);
         if (answer.getMembersIncluded()) {
             updateMembers(answer);
         }
@@ -83,6 +79,18 @@
         }
     }
 
+    private void applyConfiguration(RenewAnswer answer) {
+        try {
+            if (answer.hasSnapshot()) {
+                configuration.restore(answer.getSnapshot());
+            }
+            answer.getEntriesList().forEach(configuration::apply);
+        } catch (RuntimeException e) {
+            lease.drop();
+            throw e;
+        }
+    }
+
     /**
      * Begins to fence the groups whose primary a response removes.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/http/BodyReader.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/http/BodyReader.java
@@ -38,7 +38,12 @@
                         promise.tryComplete(body);
                     }
                 });
-        request.exceptionHandler(promise::tryFail);
+        request.exceptionHandler(
+                failure ->
+                        promise.tryFail(
+                                new ChivevaleException(
+                                        ResultCode.MALFORMED_REQUEST,
+                                        "the body is incomplete: " + failure.getMessage())));
         return promise.future();
     }
 
--- /dev/null
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
@@ -0,0 +1,159 @@
+package org.chivevale.proxy.internal.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.chivevale.core.kernel.Kernel;
+import org.chivevale.process.EventLoop;
+import org.chivevale.process.Metrics;
+import org.chivevale.proxy.ProxySettings;
+import org.chivevale.wire.FrameConnection;
+import org.chivevale.wire.FrameListener;
+import org.chivevale.wire.FrameServer;
+import org.chivevale.wire.proto.AccountPut;
+import org.chivevale.wire.proto.Change;
+import org.chivevale.wire.proto.ConfigurationSnapshot;
+import org.chivevale.wire.proto.ConnectionShare;
+import org.chivevale.wire.proto.ErrorAnswer;
+import org.chivevale.wire.proto.Frame;
+import org.chivevale.wire.proto.GroupState;
+import org.chivevale.wire.proto.LogEntry;
+import org.chivevale.wire.proto.RenewAnswer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards against a proxy that never renews its lease again, or takes a configuration for whole that
+ * it could not apply, after an answer of control that makes no sense.
+ */
+class ControlLinkTest {
+    private static final String HOST = "127.0.0.1";
+    private static final long MAX_WAIT_SECONDS = 10;
+
+    @TempDir Path folder;
+    private final Queue<Frame.Builder> answers = new ArrayDeque<>();
+    private final CountDownLatch answered = new CountDownLatch(1);
+
+    /** Answers renewals: with each of the prepared answers once, then with a valid one. */
+    private final class FakeControl implements FrameListener {
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            Frame.Builder answer = answers.poll();
+            long known = frame.getRenewRequest().getConfigVersion();
+            if (answer == null) {
+                answer = renewal(valid(known));
+                answered.countDown();
+            }
+            connection.send(answer.setCorrelationId(frame.getCorrelationId()).build());
+        }
+    }
+
+    private static RenewAnswer.Builder valid(long knownVersion) {
+        RenewAnswer.Builder answer = granted().setConfigVersion(3);
+        return knownVersion == 3
+                ? answer
+                : answer.setSnapshot(
+                        ConfigurationSnapshot.newBuilder().setVersion(3).addChanges(account()));
+    }
+
+    private static Change.Builder account() {
+        return Change.newBuilder().setAccountPut(AccountPut.newBuilder().setAccountId("bakery"));
+    }
+
+    private static RenewAnswer.Builder granted() {
+        return RenewAnswer.newBuilder().setGranted(true).setLeaseMillis(60_000);
+    }
+
+    private static Frame.Builder renewal(RenewAnswer.Builder answer) {
+        return Frame.newBuilder().setRenewAnswer(answer);
+    }
+
+    private static RenewAnswer.Builder entry(Change.Builder change) {
+        return granted()
+                .setConfigVersion(1)
+                .addEntries(LogEntry.newBuilder().setVersion(1).addChanges(change));
+    }
+
+    private static List<Frame.Builder> nonsense() {
+        Change.Builder fence =
+                Change.newBuilder().setGroupState(GroupState.newBuilder().setGroupId("x"));
+        return List.of(
+                Frame.newBuilder(),
+                Frame.newBuilder().setErrorAnswer(ErrorAnswer.newBuilder().setMessage("x")),
+                renewal(entry(fence)),
+                renewal(entry(Change.newBuilder())),
+                renewal(
+                        granted()
+                                .setConfigVersion(7)
+                                .addEntries(LogEntry.newBuilder().setVersion(7))),
+                renewal(granted().addControlAddresses("x")),
+                renewal(granted().addConnectionShares(ConnectionShare.newBuilder().setLimit(-1))),
+                renewal(
+                        granted()
+                                .setConfigVersion(3)
+                                .setSnapshot(
+                                        ConfigurationSnapshot.newBuilder()
+                                                .setVersion(3)
+                                                .addChanges(Change.newBuilder()))));
+    }
+
+    @Test
+    void nonsenseInAnAnswerDoesNotEndTheRenewals() throws Exception {
+        answers.addAll(nonsense());
+        try (FrameServer control = new FrameServer(HOST, 0, new FakeControl())) {
+            Path file = folder.resolve("proxy.toml");
+            Files.writeString(
+                    file,
+                    """
+                    id = "proxy-1"
+                    region = "muscat"
+                    data_center = "muscat-a"
+                    http_api = false
+                    control = ["127.0.0.1:%d"]
+                    timing.renew_ms = 50
+                    """
+                            .formatted(control.port()));
+            ProxySettings settings = ProxySettings.read(file);
+            Directory directory = new Directory(settings);
+            Kernel kernel =
+                    new Kernel()
+                            .register(EventLoop.NAME, new EventLoop())
+                            .register(Metrics.NAME, new Metrics())
+                            .register(
+                                    ControlLink.NAME,
+                                    new ControlLink(settings, directory, MemberScope.ENDPOINTS),
+                                    EventLoop.NAME,
+                                    Metrics.NAME);
+            kernel.start();
+            try {
+                assertTrue(answered.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS), "renewals ended");
+                awaitConfiguration(kernel, directory);
+            } finally {
+                kernel.stop();
+            }
+        }
+    }
+
+    private static void awaitConfiguration(Kernel kernel, Directory directory)
+            throws InterruptedException {
+        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        boolean[] isWhole = new boolean[1];
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_WAIT_SECONDS);
+        while (!isWhole[0]) {
+            loop.runAndWait(
+                    () ->
+                            isWhole[0] =
+                                    directory.isLeased(EventLoop.nowNanos())
+                                            && directory.configuration().version() == 3
+                                            && directory.configuration().accounts().size() == 1);
+            assertTrue(System.nanoTime() < endNanos, "no lease with the whole configuration");
+            Thread.sleep(5);
+        }
+    }
+}
