End a forwarded step whose answer cannot be read

A step was taken from the pending ones before its answer was decoded, so an answer with an unknown code left the caller waiting for ever. It now counts as lost: a commit's outcome is unknown, other steps have not run.

ForwardServiceTest timed out before and passes now.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
@@ -24,7 +24,6 @@
 import org.chivevale.wire.FrameConnection;
 import org.chivevale.wire.FrameListener;
 import org.chivevale.wire.FrameServer;
-import org.chivevale.wire.proto.ForwardAnswer;
 import org.chivevale.wire.proto.ForwardRequest;
 import org.chivevale.wire.proto.Frame;
 
@@ -180,8 +179,8 @@
             loop.run(
                     () -> {
                         PendingStep step = pendingSteps.remove(frame.getCorrelationId());
-                        if (step != null && frame.hasForwardAnswer()) {
-                            step.promise().complete(decodeResponse(frame.getForwardAnswer()));
+                        if (step != null) {
+                            completeStep(step, frame);
                         }
                     });
         }
@@ -192,8 +191,22 @@
         }
     }
 
-    private static CallerResponse decodeResponse(ForwardAnswer message) {
-        return ForwardAnswerCodec.decode(message);
+    /** Completes a step by its answer; one that cannot be read counts as lost. */
+    private static void completeStep(PendingStep step, Frame frame) {
+        CallerResponse response;
+        try {
+            response =
+                    frame.hasForwardAnswer()
+                            ? ForwardAnswerCodec.decode(frame.getForwardAnswer())
+                            : null;
+        } catch (IllegalArgumentException e) {
+            response = null;
+        }
+        if (response == null) {
+            failStep(step);
+        } else {
+            step.promise().complete(response);
+        }
     }
 
     private void onConnectionLost(String owner, FrameConnection closed) {
@@ -229,7 +242,7 @@
                                         ? ResultCode.OUTCOME_UNKNOWN
                                         : ResultCode.TRANSACTION_GONE,
                                 outcome,
-                                "the connection to proxy " + step.owner() + " was lost"));
+                                "proxy " + step.owner() + " did not answer the step"));
     }
 
     /** Receives steps of transactions that this proxy owns. */
