Close accepted connections with a frame server

FrameServer#close left them to the end of the I/O thread, and the peers still took them for open ten seconds later. The server now closes them itself.

FrameServerTest#closingAServerEndsItsConnections failed at the first of 40 tries before, passes now; FailoverTest, CallerGuaranteesTest and both MalformedInputTests pass.

--- a/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameServer.java
+++ b/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameServer.java
@@ -6,9 +6,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
@@ -22,6 +25,8 @@
 
     private final EventLoopGroup ioLoops;
     private final Channel channel;
+    private final ChannelGroup accepted =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
     /**
      * Binds the port and starts accepting connections; throws if the port is in use.
@@ -42,6 +47,7 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel child) {
+                                        accepted.add(child);
                                         FrameCodec.addTo(child.pipeline());
                                         child.pipeline().addLast(new FrameHandler(listener));
                                     }
@@ -58,10 +64,16 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
-    /** Closes the server; the port is free for reuse when this returns. */
+    /**
+     * Closes the server and its connections; the port is free for reuse when this returns.
+     *
+     * <p>The connections are closed while the I/O thread still runs: those that its end closes stay
+     * open for the peers.
+     */
     @Override
     public void close() {
         channel.close().syncUninterruptibly();
+        accepted.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
         ioLoops.shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .syncUninterruptibly();
     }
