--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/StatusWriter.java
@@ -6,17 +6,20 @@
 import org.chivevale.control.ControlSettings;
 import org.chivevale.control.internal.failover.FailoverService;
 import org.chivevale.control.internal.failover.FailoverTimings;
+import org.chivevale.control.internal.fleet.EvacuationTracker;
 import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.fleet.InForceTracker;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
 import org.chivevale.control.internal.fleet.ProxyMemberState;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.config.Account;
+import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Database;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.OpenRoute;
 import org.chivevale.core.config.Operator;
+import org.chivevale.core.config.Route;
 import org.chivevale.core.config.StoredKey;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.Kernel;
@@ -70,6 +73,7 @@
                 write(groups.addObject(), configuration, new GroupId(database.name(), slot));
             }
         }
+        writeEvacuations(status.putArray("evacuations"));
         writeChanges(status.putArray("changes"));
         writeFailovers(status.putArray("failovers"));
         return status;
@@ -94,10 +98,24 @@
                     .put("term", member.timeline())
                     .put("follows", member.upstream())
                     .put("leaving", member.shuttingDown())
+                    .put("cold", member.cold())
                     .put("announced", fleet.membership().isFresh(member, EventLoop.nowNanos()));
         }
     }
 
+    private void writeEvacuations(ArrayNode out) {
+        for (EvacuationTracker.Progress progress : fleet.evacuations().progress()) {
+            out.addObject()
+                    .put("data_center", progress.evacuation().dataCenter())
+                    .put("operator", progress.evacuation().operatorId())
+                    .put("requested_unix_ms", progress.evacuation().requestedUnixMillis())
+                    .put("version", progress.version())
+                    .put("in_force_unix_ms", progress.inForceUnixMillis())
+                    .put("proxies_in_force", progress.proxiesInForce())
+                    .put("proxies", progress.proxies());
+        }
+    }
+
     private void writeChanges(ArrayNode out) {
         for (InForceTracker.TrackedEntry change : fleet.inForceTracker().trackedEntries()) {
             ObjectNode one = out.addObject();
@@ -136,7 +154,8 @@
                     .put("database", database.name())
                     .put("slots", database.slots())
                     .put("endpoints_per_group", database.endpointsPerGroup())
-                    .put("acknowledge", database.acknowledgeByQuorum() ? "quorum" : "primary");
+                    .put("acknowledge", database.acknowledgeByQuorum() ? "quorum" : "primary")
+                    .put("warmup_per_second", database.warmupRatePerSecond());
         }
         ArrayNode accounts = out.putArray("accounts");
         configuration.accounts().forEach(account -> write(accounts.addObject(), account));
@@ -144,6 +163,12 @@
         for (StoredKey key : configuration.keys()) {
             keys.addObject().put("key_id", key.id()).put("account", key.account().value());
         }
+        ArrayNode callerRoutes = out.putArray("routes");
+        for (Route route : configuration.routes()) {
+            ObjectNode one = callerRoutes.addObject();
+            one.put("route", route.name()).put("database", route.database());
+            writeRegions(one, route.allowedRegions());
+        }
         ArrayNode routes = out.putArray("open_routes");
         for (OpenRoute route : configuration.openRoutes()) {
             routes.addObject()
@@ -170,6 +195,11 @@
         out.put("latency_objective_ms", account.latencyObjectiveMillis());
         ArrayNode databases = out.putArray("databases");
         account.databases().stream().sorted().forEach(databases::add);
+        writeRegions(out, account.allowedRegions());
+    }
+
+    private static void writeRegions(ObjectNode out, AllowedRegions allowed) {
+        allowed.toList().forEach(out.putArray("allowed_regions")::add);
     }
 
     ObjectNode report() {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
@@ -12,6 +12,8 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.wire.proto.EndpointMember;
+import org.chivevale.wire.proto.EndpointPut;
+import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.ProxyMember;
 
 /**
@@ -25,6 +27,7 @@
     private final Configuration configuration;
     private final Map<String, Announced> instances = new TreeMap<>();
     private final Map<String, ProxyMemberState> proxies = new TreeMap<>();
+    private final ColdEndpoints coldEndpoints;
     private long version;
     private long endpointsVersion;
 
@@ -38,6 +41,7 @@
      */
     public Membership(Configuration configuration, long firstVersion) {
         this.configuration = configuration;
+        this.coldEndpoints = new ColdEndpoints(configuration);
         this.version = firstVersion;
         this.endpointsVersion = firstVersion;
     }
@@ -57,7 +61,8 @@
             return;
         }
         instances.put(key, new Announced(announcement, expiryNanos));
-        if (before == null || !before.announcement().equals(announcement)) {
+        boolean wasCold = coldEndpoints.onAnnounced(announcement);
+        if (wasCold || before == null || !before.announcement().equals(announcement)) {
             onEndpointsChanged();
         }
     }
@@ -106,11 +111,43 @@
         endpointsVersion++;
     }
 
+    /**
+     * Updates which endpoints are cold after entries of the log were applied.
+     *
+     * @param entries the entries
+     */
+    public void updateCold(List<LogEntry> entries) {
+        List<InstanceAnnouncement> live =
+                instances.values().stream().map(Announced::announcement).toList();
+        if (coldEndpoints.update(entries, live)) {
+            onEndpointsChanged();
+        }
+    }
+
     /** Increases the versions, since a new primary changes which instances may serve reads. */
     public void onConfigurationChange() {
         onEndpointsChanged();
     }
 
+    /** Takes over which registered instances the configuration names as cold. */
+    public void updateCold() {
+        boolean changed = false;
+        for (Map.Entry<String, Announced> entry : instances.entrySet()) {
+            InstanceAnnouncement known = entry.getValue().announcement();
+            EndpointPut registered = configuration.endpoint(known.group(), known.endpoint());
+            if (registered != null && registered.getCold() != known.cold()) {
+                entry.setValue(
+                        new Announced(
+                                known.withCold(registered.getCold()),
+                                entry.getValue().expiryNanos()));
+                changed = true;
+            }
+        }
+        if (changed) {
+            onEndpointsChanged();
+        }
+    }
+
     /**
      * Adds or updates a proxy by its lease renewal.
      *
@@ -257,6 +294,7 @@
                 .setLeaving(instance.shuttingDown())
                 .setConnectionLimit(instance.connectionLimit())
                 .setInServiceTerm(inServiceTerm(instance))
+                .setCold(instance.cold() || coldEndpoints.isCold(instance))
                 .build();
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -11,7 +11,9 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.lease.LeaseHolder;
+import org.chivevale.core.route.EndpointAvailability;
 import org.chivevale.core.settings.HostPort;
+import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.EndpointMember;
@@ -30,8 +32,10 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Configuration configuration = new Configuration();
+    private final EndpointAvailability availability = new EndpointAvailability(configuration);
     private final LeaseHolder lease;
     private final Map<String, List<EndpointMember>> endpointsByGroup = new HashMap<>();
+    private final Set<String> coldEndpoints = new HashSet<>();
     private final Map<String, ProxyMember> proxies = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private final Set<GroupId> fencing = new HashSet<>();
@@ -67,10 +71,14 @@
         fencing.clear();
         proxyCount = answer.getProxyCount();
         long versionBefore = configuration.version();
+        // A proxy that was without a lease learns of an evacuation late: its open transactions end
+        // as if it had learned of it when its lease expired.
+        long learnedAtNanos = lease.lastValidNanos(EventLoop.nowNanos());
         applyConfiguration(answer);
         if (answer.getMembersIncluded()) {
             updateMembers(answer);
         }
+        availability.onConfigurationChange(learnedAtNanos);
         if (configuration.version() >= answer.getConfigVersion()) {
             lease.onGranted(sentAtNanos, answer.getLeaseMillis() * NANOS_PER_MILLI);
         }
@@ -122,11 +130,16 @@
 
     private void updateMembers(RenewAnswer answer) {
         membersVersion = answer.getMembersVersion();
+        availability.setMembers(answer.getEndpointsList());
         endpointsByGroup.clear();
+        coldEndpoints.clear();
         for (EndpointMember member : answer.getEndpointsList()) {
             endpointsByGroup
                     .computeIfAbsent(member.getGroupId(), key -> new ArrayList<>())
                     .add(member);
+            if (member.getCold()) {
+                coldEndpoints.add(coldKey(member.getGroupId(), member.getEndpointId()));
+            }
         }
         proxies.clear();
         answer.getProxiesList().forEach(proxy -> proxies.put(proxy.getProxyId(), proxy));
@@ -179,11 +192,30 @@
         return isLeased(nowNanos) && current.term() == term && primary.equals(current.primary());
     }
 
+    /**
+     * Returns which endpoints may get work while data centres are evacuated.
+     *
+     * @return the live object, which callers must not change
+     */
+    public EndpointAvailability availability() {
+        return availability;
+    }
+
+    /**
+     * Returns why a request for a group must not wait for an endpoint.
+     *
+     * @param group the group
+     * @return the reason; null when the request may wait
+     */
+    public String rejection(GroupId group) {
+        return availability.rejection(group, members(group));
+    }
+
     /**
      * Lists the replicas that may serve reads in a group's term.
      *
      * @param group the group
-     * @return the members
+     * @return the members, without those that may not get new work
      */
     public List<EndpointMember> servingReplicas(Group group) {
         List<EndpointMember> serving = new ArrayList<>();
@@ -191,7 +223,10 @@
             boolean primary =
                     group.primary() != null
                             && member.getEndpointId().equals(group.primary().value());
-            if (!primary && member.getInServiceTerm() == group.term() && group.term() > 0) {
+            boolean inService = member.getInServiceTerm() == group.term() && group.term() > 0;
+            if (!primary
+                    && inService
+                    && availability.isOpen(group.id(), new EndpointId(member.getEndpointId()))) {
                 serving.add(member);
             }
         }
@@ -208,6 +243,55 @@
         return endpointsByGroup.getOrDefault(group.toString(), List.of());
     }
 
+    /**
+     * Tells whether an endpoint may receive only its database's warm-up rate.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return true while control names it as cold
+     */
+    public boolean isCold(GroupId group, EndpointId endpoint) {
+        return !coldEndpoints.isEmpty()
+                && coldEndpoints.contains(coldKey(group.toString(), endpoint.value()));
+    }
+
+    /**
+     * Returns the incarnation of an endpoint.
+     *
+     * @param group the group
+     * @param endpoint the endpoint
+     * @return the incarnation in the list of members; 0 when it is not in it
+     */
+    public long incarnation(GroupId group, EndpointId endpoint) {
+        for (EndpointMember member : members(group)) {
+            if (member.getEndpointId().equals(endpoint.value())) {
+                return member.getIncarnation();
+            }
+        }
+        return 0;
+    }
+
+    private static String coldKey(String group, String endpoint) {
+        return group + "/" + endpoint;
+    }
+
+    /**
+     * Finds the region of a data centre by the endpoints in it.
+     *
+     * @param dataCenter the data centre
+     * @return its region; empty when no endpoint is announced there
+     */
+    public String regionOfDataCenter(String dataCenter) {
+        for (List<EndpointMember> members : endpointsByGroup.values()) {
+            for (EndpointMember member : members) {
+                if (member.getDataCenter().equals(dataCenter)) {
+                    return member.getRegion();
+                }
+            }
+        }
+        return "";
+    }
+
     /**
      * Returns how many proxies share what counts over the fleet, such as rates.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/pool/InstancePool.java
@@ -51,6 +51,7 @@
     private int peakDemand;
     private long connectAfterNanos;
     private boolean isClosed;
+    private boolean isBlocked;
 
     private record IdleConnection(DatabaseConnection connection, long idleSinceNanos) {}
 
@@ -103,6 +104,9 @@
             updatePeakDemand();
             return Future.succeededFuture(idleConnection);
         }
+        if (isBlocked) {
+            return Future.failedFuture(notServing());
+        }
         Promise<DatabaseConnection> promise = Promise.promise();
         if (!queue.offer(account, new WaitingRequest(account, promise), deadlineNanos)) {
             return Future.failedFuture(
@@ -148,7 +152,11 @@
     private void openIfNeeded() {
         long now = EventLoop.nowNanos();
         boolean isNeeded = queue.size() > openConnections - inUse - idleConnections.size();
-        if (isClosed || !isNeeded || openConnections >= share || now - connectAfterNanos < 0) {
+        if (isClosed
+                || isBlocked
+                || !isNeeded
+                || openConnections >= share
+                || now - connectAfterNanos < 0) {
             return;
         }
         openConnections++;
@@ -245,7 +253,7 @@
 
     private void recycle(DatabaseConnection connection) {
         boolean isKept = connection.usable() && connectionsToAddress.contains(connection);
-        if (!isKept || openConnections > share || isClosed) {
+        if (!isKept || openConnections > share || isClosed || isBlocked) {
             discard(connection);
             openIfNeeded();
             return;
@@ -311,11 +319,29 @@
 
     /** Fails the waiting requests, so that they are retried on an instance that still serves. */
     void failWaitingRequests() {
-        failQueue(
-                new DatabaseFailure(
-                        DatabaseFailure.Kind.LOST_BEFORE_COMMIT,
-                        "",
-                        "endpoint instance " + key + " no longer serves requests"));
+        failQueue(notServing());
+    }
+
+    private DatabaseFailure notServing() {
+        return new DatabaseFailure(
+                DatabaseFailure.Kind.LOST_BEFORE_COMMIT,
+                "",
+                "endpoint instance " + key + " no longer serves requests");
+    }
+
+    /** Sets whether the instance gets no new work; true ends idle connections and waiting. */
+    void setBlocked(boolean blocked) {
+        isBlocked = blocked;
+        if (blocked) {
+            closeIdle();
+            failWaitingRequests();
+        } else {
+            openIfNeeded();
+        }
+    }
+
+    boolean isBlocked() {
+        return isBlocked;
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -28,6 +28,7 @@
     private boolean hasWritten;
     private boolean settingsChanged;
     private boolean hasFailed;
+    private String abortReason = "";
     private long idleSinceNanos = EventLoop.nowNanos();
 
     /**
@@ -182,6 +183,41 @@
                                                                 == TransactionState.NONE));
     }
 
+    /**
+     * Rolls back if the endpoint's data centre is evacuated and the time to end has passed.
+     *
+     * @return the reason of the rollback; empty when it was not rolled back now
+     */
+    public String rollBackIfEvacuated() {
+        if (connection != null && !hasFailed && !engine.mayContinue(placement)) {
+            abortReason = engine.closedReason(placement);
+            rollBack();
+            return abortReason;
+        }
+        return "";
+    }
+
+    /**
+     * Returns whether the proxy has rolled the transaction back and its caller was not told.
+     *
+     * @return false once the reason was taken
+     */
+    public boolean isAborted() {
+        return !abortReason.isEmpty();
+    }
+
+    /**
+     * Takes the reason for which the proxy has rolled the transaction back.
+     *
+     * @param otherwise returned when there is none or it was taken
+     * @return the reason
+     */
+    public String takeAbortReason(String otherwise) {
+        String reason = abortReason.isEmpty() ? otherwise : abortReason;
+        abortReason = "";
+        return reason;
+    }
+
     /**
      * Returns how long the transaction has been idle.
      *
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -6,16 +6,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
+import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement.Prepared;
+import org.chivevale.database.MemberTarget;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.process.EventLoop;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
+import org.chivevale.proxy.internal.rate.WarmupGate;
 
 /**
  * The statement execution state that all sessions of a proxy share.
@@ -30,16 +34,22 @@
     private final Directory directory;
     private final SessionPools pools;
     private final PlacementSelector selector;
+    private final WarmupGate warmup;
     private final Map<Prepared, String> names = new HashMap<>();
     private final Set<StatementExecution> executions = new LinkedHashSet<>();
     private long lastNameNumber;
 
     SessionEngine(
-            EventLoop loop, Directory directory, SessionPools pools, PlacementSelector selector) {
+            EventLoop loop,
+            Directory directory,
+            SessionPools pools,
+            PlacementSelector selector,
+            WarmupGate warmup) {
         this.loop = loop;
         this.directory = directory;
         this.pools = pools;
         this.selector = selector;
+        this.warmup = warmup;
     }
 
     /**
@@ -49,12 +59,21 @@
      * @param settings the process's settings
      * @param directory lease, configuration and members
      * @param pools connections to endpoints
+     * @param warmup admits statements to cold endpoints
      * @return the engine
      */
     public static SessionEngine create(
-            EventLoop loop, ProxySettings settings, Directory directory, SessionPools pools) {
+            EventLoop loop,
+            ProxySettings settings,
+            Directory directory,
+            SessionPools pools,
+            WarmupGate warmup) {
         return new SessionEngine(
-                loop, directory, pools, new PlacementSelector(settings, directory, pools));
+                loop,
+                directory,
+                pools,
+                new PlacementSelector(settings, directory, pools, warmup),
+                warmup);
     }
 
     boolean isLeased() {
@@ -77,6 +96,36 @@
                 now);
     }
 
+    /** Returns true while the endpoint of a placement may get a new statement. */
+    boolean isOpen(Placement placement) {
+        MemberTarget target = placement.pool().target();
+        return directory.availability().isOpen(target.group(), target.endpoint());
+    }
+
+    /** Returns true while a transaction that is open at a placement may go on. */
+    boolean mayContinue(Placement placement) {
+        MemberTarget target = placement.pool().target();
+        return directory
+                .availability()
+                .mayContinue(target.group(), target.endpoint(), EventLoop.nowNanos());
+    }
+
+    /** Returns why the endpoint of a placement gets no new statement; empty when it does. */
+    String closedReason(Placement placement) {
+        MemberTarget target = placement.pool().target();
+        return directory.availability().reason(target.group(), target.endpoint());
+    }
+
+    /** Returns why a request without a placement is rejected at once; null when it waits. */
+    String rejection(Route route) {
+        return selector.rejection(route);
+    }
+
+    /** Returns why the primary of a route gets no new statement; empty when it does. */
+    String primaryReason(Route route) {
+        return selector.primaryReason(route);
+    }
+
     /** Returns true once the endpoint selected as primary has been replaced or its term ended. */
     boolean isReplaced(Placement placement) {
         Group current = directory.configuration().group(placement.group().id());
@@ -141,9 +190,54 @@
     }
 
     Placement selectPlacement(
-            Route route, boolean primaryOnly, TermPosition lastCommit, Set<EndpointId> excluded) {
+            Route route,
+            ClientAccountId account,
+            boolean primaryOnly,
+            TermPosition lastCommit,
+            Set<EndpointId> excluded,
+            Object statement) {
         return primaryOnly
-                ? selector.selectPrimary(route)
-                : selector.selectForRead(route, lastCommit, excluded);
+                ? selector.selectPrimary(route, account, statement)
+                : selector.selectForRead(route, account, lastCommit, excluded, statement);
+    }
+
+    /** Admits a statement to its endpoint, directly before it is sent there. */
+    boolean tryAdmit(Placement placement, Object statement) {
+        return warmup.tryAdmit(
+                placement.group().id(), placement.pool().target().endpoint(), statement);
+    }
+
+    /** Returns true while a statement needs a token to be sent to its endpoint. */
+    boolean needsToken(Placement placement) {
+        return warmup.isCold(placement.group().id(), placement.pool().target().endpoint());
+    }
+
+    /** Notes that an endpoint has accepted a connection. */
+    void recordOpen(PooledConnection used) {
+        warmup.recordAttempt(
+                used.pool().target().group(), used.pool().target().endpoint(), false, true);
+    }
+
+    /** Notes how an attempt ended, by which a restart of the endpoint shows. */
+    void recordAttempt(PooledConnection used, EndpointReply reply) {
+        boolean replied = reply.reply() != Reply.UNREACHABLE && reply.reply() != Reply.LOST;
+        warmup.recordAttempt(
+                used.pool().target().group(),
+                used.pool().target().endpoint(),
+                reply.reply() == Reply.UNREACHABLE && used.connection().wasRefused(),
+                replied);
+    }
+
+    /** Lets statements that wait for an endpoint go on, the most urgent first. */
+    public void resumeByUrgency() {
+        List<StatementExecution> waiting = new ArrayList<>(executions);
+        waiting.removeIf(execution -> !execution.isWaitingForEndpoint());
+        waiting.sort(StatementExecution.BY_URGENCY);
+        waiting.forEach(StatementExecution::resume);
+    }
+
+    /** Returns why a request can run nowhere because of its regions, or null when it can. */
+    String findRegionExclusion(Route route, ClientAccountId account, boolean primaryOnly) {
+        return selector.findRegionExclusion(route, account, primaryOnly);
     }
 }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
@@ -82,7 +82,8 @@
                         1000,
                         1,
                         meanwhile.snapshotEvery,
-                        null);
+                        null,
+                        new ControlSettings.Warmup(1.5, 5));
         FleetService fleet = new FleetService(settings);
         kernel =
                 new Kernel()
@@ -240,6 +241,44 @@
         assertEquals(List.of("e-1/50"), registered());
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void anAnnouncementFromBeforeAnEvacuationDoesNotMakeAnEndpointWarm(Meanwhile meanwhile)
+            throws Exception {
+        start(meanwhile);
+        announce("e-1", 50, 5);
+        run(
+                () ->
+                        log().propose(
+                                        "test",
+                                        "",
+                                        now ->
+                                                now.endpoints().stream()
+                                                        .map(EndpointRegistryTest::cold)
+                                                        .toList()));
+        pass(meanwhile);
+
+        announce("e-1", 50, 5);
+        assertEquals(List.of(true), coldEndpoints());
+        announce("e-1", 50, 6);
+        assertEquals(List.of(false), coldEndpoints());
+    }
+
+    private static Change cold(EndpointPut put) {
+        return Change.newBuilder().setEndpointPut(put.toBuilder().setCold(true)).build();
+    }
+
+    private List<Boolean> coldEndpoints() {
+        List<Boolean> cold = new ArrayList<>();
+        kernel.find(EventLoop.NAME, EventLoop.class)
+                .runAndWait(
+                        () ->
+                                log().state().configuration().endpoints().stream()
+                                        .map(EndpointPut::getCold)
+                                        .forEach(cold::add));
+        return cold;
+    }
+
     @Test
     void anAnnouncementThatArrivesWhileARemovalIsQueuedChangesNothing() throws Exception {
         start(Meanwhile.NOTHING);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetServiceNonsenseTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetServiceNonsenseTest.java
@@ -80,7 +80,8 @@
                         1000,
                         1,
                         1000,
-                        null);
+                        null,
+                        new ControlSettings.Warmup(1.5, 5));
         Kernel kernel =
                 new Kernel()
                         .register(EventLoop.NAME, new EventLoop())
