Keep one notion of cold endpoints in the membership

Cause: two parts had each added a way to learn which endpoints are cold. Change: Membership#updateCold covers registered endpoints and those outside the log; the stand-in endpoint has one flag. Result: ColdEndpointTest, the evacuation tests and RegionAndWarmupPathTest pass.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/ColdEndpoints.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/ColdEndpoints.java
@@ -6,12 +6,11 @@
 import java.util.Set;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.wire.proto.Change;
-import org.chivevale.wire.proto.EndpointPut;
 import org.chivevale.wire.proto.LogEntry;
 
 /**
- * The endpoints that are cold: by the log, or since their data centre's evacuation was withdrawn
- * and they have not announced themselves since.
+ * The endpoints outside the log that are cold since their data centre's evacuation was withdrawn
+ * and that have not announced themselves since.
  *
  * <p>Endpoints that announce themselves through the administration API are not in the log; this
  * leader remembers them, and a later leader learns of them only by a new announcement. Used on the
@@ -20,21 +19,9 @@
 final class ColdEndpoints {
     private final Configuration configuration;
     private final Set<String> unregistered = new HashSet<>();
-    private Set<String> registered;
 
     ColdEndpoints(Configuration configuration) {
         this.configuration = configuration;
-        this.registered = findRegistered();
-    }
-
-    private Set<String> findRegistered() {
-        Set<String> cold = new HashSet<>();
-        for (EndpointPut put : configuration.endpoints()) {
-            if (put.getCold()) {
-                cold.add(put.getGroupId() + "/" + put.getEndpointId());
-            }
-        }
-        return cold;
     }
 
     /**
@@ -42,12 +29,10 @@
      *
      * @param entries the entries
      * @param instances the live endpoints
-     * @return true when an endpoint has become cold or warm
+     * @return true when an endpoint has become cold
      */
     boolean update(List<LogEntry> entries, Collection<InstanceAnnouncement> instances) {
-        Set<String> before = registered;
-        registered = findRegistered();
-        boolean changed = !registered.equals(before);
+        boolean changed = false;
         for (LogEntry entry : entries) {
             for (Change change : entry.getChangesList()) {
                 if (change.hasEvacuationRemoved()) {
@@ -78,7 +63,7 @@
     }
 
     boolean isCold(InstanceAnnouncement instance) {
-        return registered.contains(key(instance)) || unregistered.contains(key(instance));
+        return unregistered.contains(key(instance));
     }
 
     private static String key(InstanceAnnouncement instance) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -173,14 +173,10 @@
             membership.updateCold(List.of());
             membership.onConfigurationChange();
             evacuations.update(List.of());
-            membership.updateCold();
         } else {
             inForceTracker.track(entries);
             membership.updateCold(entries);
             evacuations.update(entries);
-            if (entries.stream().anyMatch(FleetService::mayChangeCold)) {
-                membership.updateCold();
-            }
             if (entries.stream().anyMatch(FleetService::changesPrimary)) {
                 membership.onConfigurationChange();
             }
@@ -192,11 +188,6 @@
         return entry.getChangesList().stream().anyMatch(Change::hasGroupState);
     }
 
-    private static boolean mayChangeCold(LogEntry entry) {
-        return entry.getChangesList().stream()
-                .anyMatch(change -> change.hasEndpointPut() || change.hasEvacuationRemoved());
-    }
-
     private void tick() {
         long now = EventLoop.nowNanos();
         if (inForceTracker.hasPending()) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/Membership.java
@@ -114,12 +114,14 @@
     /**
      * Updates which endpoints are cold after entries of the log were applied.
      *
-     * @param entries the entries
+     * @param entries the entries; empty when the configuration was restored from a snapshot
      */
     public void updateCold(List<LogEntry> entries) {
         List<InstanceAnnouncement> live =
                 instances.values().stream().map(Announced::announcement).toList();
-        if (coldEndpoints.update(entries, live)) {
+        boolean changed = coldEndpoints.update(entries, live);
+        changed |= takeOverRegisteredCold();
+        if (changed) {
             onEndpointsChanged();
         }
     }
@@ -130,7 +132,7 @@
     }
 
     /** Takes over which registered instances the configuration names as cold. */
-    public void updateCold() {
+    private boolean takeOverRegisteredCold() {
         boolean changed = false;
         for (Map.Entry<String, Announced> entry : instances.entrySet()) {
             InstanceAnnouncement known = entry.getValue().announcement();
@@ -143,9 +145,7 @@
                 changed = true;
             }
         }
-        if (changed) {
-            onEndpointsChanged();
-        }
+        return changed;
     }
 
     /**
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/ColdEndpointTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/ColdEndpointTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.chivevale.control.ControlSettings;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.settings.Settings;
@@ -80,14 +81,14 @@
         putEndpoint(false);
         membership.announce(EndpointRegistry.toAnnouncement(WARM), 1);
         long before = membership.endpointsVersion();
-        membership.updateCold();
+        membership.updateCold(List.of());
         assertEquals(before, membership.endpointsVersion());
         putEndpoint(true);
-        membership.updateCold();
+        membership.updateCold(List.of());
         assertTrue(isToldAsCold());
         assertEquals(before + 1, membership.endpointsVersion());
         putEndpoint(false);
-        membership.updateCold();
+        membership.updateCold(List.of());
         assertFalse(isToldAsCold());
     }
 
