Mend what the read-through of the joined parts found

A relayed statement at an endpoint that is closed to new work could recurse without end; an aged request never got its turn while the most urgent class was beyond its share; a rollback and a position probe without a reply kept their connection for ever; one rejection made a whole host avoided; a malformed relay request got no answer; links were closed off the event loop. Change: each mended; the rollback stands once, in PooledConnection; comments give reasons, not trials.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -156,6 +156,9 @@
     }
 
     private void setBlockedReason(String reason) {
+        if (reason.isEmpty()) {
+            loggedReason = "";
+        }
         boolean isNewReason = !reason.isEmpty() && !reason.equals(loggedReason);
         long now = fleet.nowNanos();
         if (isNewReason && millisSince(loggedNanos, now) > REASON_LOG_INTERVAL_MILLIS) {
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionOrderTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/admission/AdmissionOrderTest.java
@@ -104,6 +104,35 @@
         assertEquals(List.of("urgent", "urgent", "urgent", "aged"), served);
     }
 
+    /**
+     * An account beyond its share in the most urgent class must not keep others from their turn.
+     */
+    @Example
+    void anAgedRequestGetsItsTurnAlsoWhileMoreUrgentOnesAreBeyondTheirShare() {
+        long now = 0;
+        for (int second = 0; second < 60; second++) {
+            now += 1_000 * MILLI;
+            queue.recordArrival(request(0, LARGE, now), now, 1);
+        }
+        for (int i = 0; i < 400; i++) {
+            now += MILLI;
+            queue.recordArrival(request(0, LARGE, now), now, 1);
+            queue.recordServed(request(0, LARGE, now), now);
+        }
+        long end = now / MILLI + 2_000;
+        for (int i = 0; i < 10; i++) {
+            queue.add("beyond", request(0, LARGE, end), now, NO_IDLE);
+            queue.add("within", request(1, SMALL, end), now, NO_IDLE);
+        }
+        ClientAccountId other = new ClientAccountId("other");
+        queue.add("aged", request(3, other, now / MILLI + 400), now, NO_IDLE);
+        List<String> served = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            served.add(serve(now / MILLI + 300, NO_IDLE));
+        }
+        assertEquals(List.of("within", "within", "within", "aged"), served);
+    }
+
     @Example
     void aRequestThatCannotBeServedInItsTimeIsRejectedAtOnce() {
         for (int i = 0; i < 20; i++) {
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/AdmissionQueue.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/AdmissionQueue.java
@@ -12,11 +12,9 @@
 /**
  * Orders the requests that wait for an endpoint, and rejects those that cannot be served in time.
  *
- * <p>The load that it answers: an endpoint with 2 to 6 slots and 34 to 120 connections; statements
- * of 3 to 47 ms of work, 12 ms more when a connection is opened; 75 to 87 client accounts, a few of
- * them large; bursts in which the least urgent kind of request comes at 2.5 times its usual rate,
- * and spans in which one account sends 4 to 7 times its usual load. In these the total exceeds what
- * the slots can do, and first come, first served makes every request late.
+ * <p>The load that it answers: bursts of the least urgent kind of request, or of a few client
+ * accounts, in which the demand exceeds what the endpoint's slots can do. First come, first served
+ * then makes every request late.
  *
  * <p>Order: requests within their account's fair share before those beyond it ({@link FairShares},
  * which limits accounts in overload only); the most urgent class first; in it the account with the
@@ -27,8 +25,9 @@
  * aged; every {@link #AGED_TURN}th turn serves an aged request of a lower class.
  *
  * <p>Invariants: no request is rejected for its expected wait while a slot is free; at most {@code
- * maxWaiting} requests wait; a full queue gives up a request only for a more urgent one, or for one
- * of the same class whose account has fewer waiting. Not thread safe.
+ * maxWaiting} requests wait; a full queue gives up a request beyond its account's share for one
+ * within it, otherwise only for a more urgent one, or for one of the same class whose account has
+ * fewer waiting. Not thread safe.
  *
  * @param <T> type of the queued items
  */
@@ -56,6 +55,7 @@
     private final RetrySpread retrySpread = new RetrySpread();
     private long lastSequence;
     private int turnsSinceAged;
+    private Ticket<T> agedChoice;
     private int size;
 
     /**
@@ -231,6 +231,7 @@
      * @return its place; null when none waits
      */
     public Ticket<T> next(long nowNanos, PoolUse use) {
+        agedChoice = null;
         if (classes.isEmpty()) {
             return null;
         }
@@ -241,6 +242,7 @@
         } else if (turnsSinceAged >= AGED_TURN - 1) {
             Ticket<T> aged = first(agedHeads(heads.get(0).request().priority(), nowNanos), use);
             if (aged != null) {
+                agedChoice = aged;
                 return aged;
             }
         }
@@ -302,8 +304,7 @@
      */
     public void take(Ticket<T> ticket, long nowNanos, int capacity) {
         int priority = ticket.request().priority();
-        boolean isAged = priority > classes.firstKey();
-        turnsSinceAged = isAged ? 0 : turnsSinceAged + 1;
+        turnsSinceAged = ticket == agedChoice ? 0 : turnsSinceAged + 1;
         turnShares.replaceAll((key, share) -> share * (1 - TURN_WEIGHT));
         int key = shares.isBeyond(ticket.request(), nowNanos) ? BEYOND_SHARE : priority;
         turnShares.merge(key, TURN_WEIGHT, Double::sum);
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/SlotLimit.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/SlotLimit.java
@@ -9,7 +9,7 @@
  * with other proxies. Not thread safe.
  */
 public final class SlotLimit {
-    /** Bounds the refused statements to ten per second; six slots are regained in 0.6 s. */
+    /** Each growth risks a refused statement, so this bounds them to ten per second. */
     private static final long GROWTH_INTERVAL_NANOS = 100_000_000;
 
     private int limit = Integer.MAX_VALUE;
--- a/org.chivevale.core/src/main/java/org/chivevale/core/admission/WaitEstimate.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/admission/WaitEstimate.java
@@ -10,7 +10,7 @@
 final class WaitEstimate {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /** The middle of the 3 to 47 ms of work that a statement needs. */
+    /** Used until an interval between two served requests is known. */
     private static final double INITIAL_SLOT_NANOS = 25.0 * NANOS_PER_MILLI;
 
     /** Limits the effect of a pause of the endpoint on the estimate. */
--- a/org.chivevale.process/src/main/java/org/chivevale/process/ListenSocket.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/ListenSocket.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.UnresolvedAddressException;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.settings.HostPort;
@@ -36,16 +37,32 @@
     public static ListenSocket bind(HostPort address) {
         try {
             ServerSocketChannel channel = ServerSocketChannel.open();
+            ListenSocket socket = new ListenSocket(address, channel);
+            socket.bind();
+            return socket;
+        } catch (IOException e) {
+            throw unavailable(address, e);
+        }
+    }
+
+    private void bind() throws IOException {
+        try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             channel.bind(new InetSocketAddress(address.host(), address.port()), ACCEPT_BACKLOG);
-            return new ListenSocket(address, channel);
         } catch (IOException e) {
-            throw new ChivevaleException(
-                    ResultCode.ADDRESS_UNAVAILABLE,
-                    "cannot listen on " + address + ": " + e.getMessage());
+            channel.close();
+            throw e;
+        } catch (UnresolvedAddressException e) {
+            channel.close();
+            throw unavailable(address, e);
         }
     }
 
+    private static ChivevaleException unavailable(HostPort address, Exception cause) {
+        return new ChivevaleException(
+                ResultCode.ADDRESS_UNAVAILABLE, "cannot listen on " + address + ": " + cause);
+    }
+
     /**
      * Returns the address.
      *
--- a/org.chivevale.process/src/main/java/org/chivevale/process/SocketServer.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/SocketServer.java
@@ -9,7 +9,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 
@@ -26,6 +28,8 @@
     /** Delay after which the selector has dropped a channel that was deregistered. */
     private static final long SELECTION_MILLIS = 2;
 
+    private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+
     private final ListenSocket socket;
     private final Channel listener;
 
@@ -76,7 +80,13 @@
                                                 () -> acceptPendingAndClose(done),
                                                 SELECTION_MILLIS,
                                                 TimeUnit.MILLISECONDS));
-        done.join();
+        try {
+            done.get(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warnf("the listener at %s did not close: %s", socket.address(), e);
+        }
     }
 
     private void acceptPendingAndClose(CompletableFuture<Void> done) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLink.java
@@ -95,7 +95,7 @@
             onClosed(generation);
         }
         boolean isNewWork = request.getTransactionId() == 0 || isBegin(request);
-        if (isLeaving && isNewWork) {
+        if (isShutDown || isLeaving && isNewWork) {
             done.accept(RelayOutcome.NOT_SENT);
             return;
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLinks.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/relay/RelayLinks.java
@@ -171,7 +171,7 @@
 
     /** Looks for silent hosts. */
     public void tick() {
-        links.values().forEach(RelayLink::tick);
+        List.copyOf(links.values()).forEach(RelayLink::tick);
     }
 
     /**
@@ -191,7 +191,7 @@
 
     /** Closes all links. */
     public void shutDown() {
-        links.values().forEach(RelayLink::shutDown);
+        List.copyOf(links.values()).forEach(RelayLink::shutDown);
         transport.close();
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -415,7 +415,13 @@
     }
 
     void tick() {
-        expireWaiters(EventLoop.nowNanos());
+        long now = EventLoop.nowNanos();
+        for (PooledConnection connection : List.copyOf(open)) {
+            if (connection.isRollbackOverdue(now)) {
+                connection.connection().close();
+            }
+        }
+        expireWaiters(now);
         serveWaiters();
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/HostedTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/HostedTransaction.java
@@ -3,8 +3,6 @@
 import java.util.Map;
 import org.chivevale.core.interactive.Effect;
 import org.chivevale.core.interactive.Reply;
-import org.chivevale.core.interactive.Statement;
-import org.chivevale.database.session.SessionConnection;
 import org.chivevale.database.session.TransactionState;
 import org.chivevale.process.EventLoop;
 
@@ -84,20 +82,6 @@
         if (used == null) {
             return;
         }
-        if (settingsChanged) {
-            used.markSettingsUnknown();
-        }
-        used.connection()
-                .execute(
-                        SessionConnection.OWN_ID,
-                        new Statement.Rollback(),
-                        null,
-                        reply ->
-                                used.pool()
-                                        .release(
-                                                used,
-                                                reply.reply() == Reply.SUCCESS
-                                                        && reply.transaction()
-                                                                == TransactionState.NONE));
+        used.rollBackAndRelease(settingsChanged);
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/OpenTransaction.java
@@ -4,7 +4,6 @@
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Route;
 import org.chivevale.core.interactive.Effect;
-import org.chivevale.core.interactive.Reply;
 import org.chivevale.core.interactive.Statement;
 import org.chivevale.database.session.SessionConnection;
 import org.chivevale.database.session.TransactionState;
@@ -161,21 +160,7 @@
         if (used == null) {
             return;
         }
-        if (settingsChanged) {
-            used.markSettingsUnknown();
-        }
-        used.connection()
-                .execute(
-                        SessionConnection.OWN_ID,
-                        new Statement.Rollback(),
-                        null,
-                        reply ->
-                                used.pool()
-                                        .release(
-                                                used,
-                                                reply.reply() == Reply.SUCCESS
-                                                        && reply.transaction()
-                                                                == TransactionState.NONE));
+        used.rollBackAndRelease(settingsChanged);
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -240,6 +240,11 @@
                 pool.usableConnections() == 0 || pool.health().isAvoided(nowNanos, SILENCE_NANOS));
     }
 
+    /** Gives up questions to primaries that got no reply. */
+    void tick(long nowNanos) {
+        probe.tick(nowNanos);
+    }
+
     private int distance(EndpointMember member) {
         if (member.getDataCenter().equals(settings.dataCenter())) {
             return 0;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PooledConnection.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PooledConnection.java
@@ -11,6 +11,7 @@
 import org.chivevale.core.interactive.Statement.Prepared;
 import org.chivevale.database.session.EndpointReply;
 import org.chivevale.database.session.SessionConnection;
+import org.chivevale.database.session.TransactionState;
 import org.chivevale.process.EventLoop;
 
 /**
@@ -20,6 +21,8 @@
  * settings are those of that session. Not thread safe.
  */
 final class PooledConnection {
+    private static final long ROLLBACK_TIMEOUT_NANOS = 1_000_000_000;
+
     private final SessionConnection connection;
     private final RelayedConnection relayed;
     private final ClientAccountId account;
@@ -28,6 +31,8 @@
     private final Set<Prepared> prepared = new HashSet<>();
     private long idleSinceNanos;
     private boolean settingsUnknown;
+    private boolean isRollingBack;
+    private long rollbackSentNanos;
 
     private PooledConnection(
             SessionConnection connection,
@@ -163,6 +168,36 @@
         settings.putAll(wanted);
     }
 
+    /**
+     * Rolls back at the endpoint and returns to the pool; closed if the endpoint does not say that
+     * no transaction is open.
+     *
+     * @param settingsChanged true when the rollback may undo changes of settings
+     */
+    void rollBackAndRelease(boolean settingsChanged) {
+        if (settingsChanged) {
+            markSettingsUnknown();
+        }
+        rollbackSentNanos = EventLoop.nowNanos();
+        isRollingBack = true;
+        connection.execute(
+                SessionConnection.OWN_ID,
+                new Statement.Rollback(),
+                null,
+                reply -> {
+                    isRollingBack = false;
+                    boolean isClean =
+                            reply.reply() == Reply.SUCCESS
+                                    && reply.transaction() == TransactionState.NONE;
+                    pool.release(this, isClean);
+                });
+    }
+
+    /** Returns true when a rollback has got no reply in time, so that the connection must go. */
+    boolean isRollbackOverdue(long nowNanos) {
+        return isRollingBack && nowNanos - rollbackSentNanos > ROLLBACK_TIMEOUT_NANOS;
+    }
+
     /** Resets settings and prepared statements; the reply carries the endpoint's position. */
     void reset(Consumer<EndpointReply> done) {
         settings.clear();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PositionProbe.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PositionProbe.java
@@ -1,6 +1,8 @@
 package org.chivevale.proxy.internal.session;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.admission.AdmissionRequest;
@@ -87,6 +89,17 @@
                 AllowedRegions.ANY);
     }
 
+    /** Gives up probes without a reply and forgets those that have ended. */
+    void tick(long nowNanos) {
+        List<Probe> overdue = new ArrayList<>(probes.values());
+        overdue.removeIf(
+                probe -> probe.isEnded || nowNanos - probe.startedAtNanos <= TIMEOUT_NANOS);
+        overdue.forEach(PositionProbe::abandon);
+        probes.values()
+                .removeIf(
+                        probe -> probe.isEnded && nowNanos - probe.startedAtNanos > INTERVAL_NANOS);
+    }
+
     private static boolean isDue(Probe last, long nowNanos) {
         long pauseNanos = last.isEnded ? INTERVAL_NANOS : TIMEOUT_NANOS;
         return nowNanos - last.startedAtNanos > pauseNanos;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayHost.java
@@ -13,6 +13,7 @@
 import org.chivevale.core.config.Group;
 import org.chivevale.core.config.ReadPolicy;
 import org.chivevale.core.config.Route;
+import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
@@ -37,6 +38,7 @@
 final class RelayHost {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final String ANONYMOUS = "anonymous";
+    private static final String NOT_UNDERSTOOD = "the request is not understood";
 
     /** Time beyond the idle limit, as the sender rolls back by its own clock first. */
     private static final long IDLE_MARGIN_NANOS = 1_000 * NANOS_PER_MILLI;
@@ -106,8 +108,8 @@
             return;
         }
         lastCorrelationId = correlationId;
-        if (effect == null || statement == null) {
-            reject(correlationId, request, RelayReply.MOVED, "the request is not understood");
+        if (effect == null || statement == null || !isWellFormed(request)) {
+            reject(correlationId, request, RelayReply.MOVED, NOT_UNDERSTOOD);
         } else if (effect == Effect.BEGIN
                 || effect == Effect.SINGLE_READ
                 || effect == Effect.SINGLE_WRITE) {
@@ -117,6 +119,17 @@
         }
     }
 
+    private static boolean isWellFormed(RelayRequest request) {
+        try {
+            GroupId.parse(request.getGroupId());
+            new EndpointId(request.getEndpointId());
+            new ClientAccountId(request.getAccountId());
+            return true;
+        } catch (IllegalArgumentException | ChivevaleException e) {
+            return false;
+        }
+    }
+
     private void start(
             long correlationId,
             RelayRequest request,
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
@@ -35,6 +35,9 @@
     /** Name in the kernel. */
     public static final String NAME = "relay";
 
+    /** Another process sends the priority, so the number of series is bounded. */
+    private static final int MAX_PRIORITY_TAG = 9;
+
     private static final Logger LOG = Logger.getLogger(RelayService.class);
     private static final long TICK_MILLIS = 250;
 
@@ -141,7 +144,7 @@
                         "outcome",
                         answer.getReply().name().toLowerCase(Locale.ROOT),
                         "priority",
-                        String.valueOf(request.getPriority()))
+                        String.valueOf(Math.min(request.getPriority(), MAX_PRIORITY_TAG)))
                 .increment();
         queueTime.record(answer.getQueuedMillis(), TimeUnit.MILLISECONDS);
         decisions.log(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayedConnection.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayedConnection.java
@@ -55,6 +55,7 @@
     private Consumer<EndpointReply> inFlight;
     private boolean isFromEndpoint;
     private boolean allHostsFailed;
+    private boolean anyHostAnswered;
     private boolean isClosed;
 
     /**
@@ -81,6 +82,7 @@
     void execute(Attempt attempt, Consumer<EndpointReply> done) {
         isFromEndpoint = false;
         allHostsFailed = false;
+        anyHostAnswered = false;
         if (isClosed || hosts.isEmpty()) {
             String detail =
                     hosts.isEmpty()
@@ -153,8 +155,8 @@
             }
             case NOT_SENT -> tryNextHost(attempt, isPinned, "unreachable");
             default -> {
+                anyHostAnswered = true;
                 if (outcome.answer().getReply() == RelayReply.MOVED) {
-                    relay.links().avoid(host());
                     tryNextHost(attempt, isPinned, "moved");
                     return;
                 }
@@ -203,7 +205,7 @@
             send(attempt, false);
             return;
         }
-        allHostsFailed = outcome.equals("unreachable") && !isPinned && hosts.size() > 1;
+        allHostsFailed = !anyHostAnswered && !isPinned && hosts.size() > 1;
         isClosed = true;
         reply(outcome, Reply.UNREACHABLE, "no connection host takes the statement: " + outcome);
     }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -183,6 +183,7 @@
         long now = EventLoop.nowNanos();
         List<StatementExecution> running = new ArrayList<>(executions);
         running.forEach(execution -> execution.tick(now));
+        selector.tick(now);
     }
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -72,6 +72,7 @@
     private final Set<EndpointId> suspected = new HashSet<>();
     private final KnownHosts hosts = new KnownHosts();
     private final ProxySettings settings;
+    private EventLoop loop;
     private SessionConnector connector;
     private ControlLink link;
     private RelayedConnection.Relay relay;
@@ -101,7 +102,7 @@
 
     @Override
     public void start(Kernel kernel) {
-        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        loop = kernel.find(EventLoop.NAME, EventLoop.class);
         link = kernel.find(ControlLink.NAME, ControlLink.class);
         connector = connectors.apply(loop);
         MeterRegistry registry = kernel.find(Metrics.NAME, Metrics.class).registry();
@@ -410,7 +411,10 @@
 
     @Override
     public void stop() {
-        pools.values().forEach(EndpointPool::close);
-        relay.links().shutDown();
+        loop.runAndWait(
+                () -> {
+                    List.copyOf(pools.values()).forEach(EndpointPool::close);
+                    relay.links().shutDown();
+                });
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -260,7 +260,11 @@
         }
         if (!isPinned && !engine.isOpen(placement)) {
             releaseConnection(true);
-            selectPlacement();
+            if (fixedPlacement == null) {
+                selectPlacement();
+            } else {
+                fail(SessionError.NOT_PRIMARY, engine.closedReason(placement));
+            }
             return;
         }
         if (isPinned && !engine.mayContinue(placement)) {
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/session/EndpointPoolTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/session/EndpointPoolTest.java
@@ -122,6 +122,22 @@
         assertEquals(3, opened);
     }
 
+    /** An endpoint that does not answer a rollback must not keep the connection for ever. */
+    @Test
+    void aRollbackWithoutAReplyGivesItsConnectionUp() throws InterruptedException {
+        pool.setShare(1);
+        acquire("transaction", request(0, SMALL));
+        acquire("waits", request(0, LARGE));
+        connections.remove(0).rollBackAndRelease(false);
+        long endNanos = EventLoop.nowNanos() + 30 * SECOND_NANOS;
+        while (served.size() < 2 && EventLoop.nowNanos() - endNanos < 0) {
+            Thread.sleep(20);
+            pool.tick();
+        }
+        assertEquals(List.of("transaction", "waits"), served);
+        assertEquals(2, opened);
+    }
+
     @Test
     void aRequestThatHasLeftOrWhoseTimeHasPassedGetsNoConnection() {
         pool.setShare(1);
