--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlAddresses.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlAddresses.java
@@ -10,14 +10,20 @@
 /**
  * The addresses at which to try control: the last known leader, the members it listed, the seeds.
  *
- * <p>Not thread safe.
+ * <p>A leader that has not responded is not tried again for some time, though other processes name
+ * it until they have elected another one. Not thread safe.
  */
 final class ControlAddresses {
     private static final Logger LOG = Logger.getLogger(ControlAddresses.class);
 
+    /** Longer than the other processes take to notice that a leader is gone and to elect one. */
+    private static final long SILENCE_NANOS = 1_500_000_000L;
+
     private List<HostPort> seeds;
     private final List<HostPort> members = new ArrayList<>();
     private HostPort leader;
+    private HostPort silent;
+    private long silentUntilNanos;
     private int nextIndex;
 
     ControlAddresses(List<HostPort> seeds) {
@@ -29,8 +35,8 @@
         seeds = List.copyOf(changed);
     }
 
-    /** Returns the address to try next. */
-    HostPort next() {
+    /** Returns the address to try next; that of a silent process only if there is no other. */
+    HostPort next(long nowNanos) {
         if (leader != null) {
             HostPort target = leader;
             leader = null;
@@ -39,7 +45,12 @@
         LinkedHashSet<HostPort> all = new LinkedHashSet<>(members);
         all.addAll(seeds);
         List<HostPort> known = new ArrayList<>(all);
-        return known.get(nextIndex % known.size());
+        HostPort next = known.get(nextIndex % known.size());
+        if (known.size() > 1 && isSilent(next, nowNanos)) {
+            advance();
+            next = known.get(nextIndex % known.size());
+        }
+        return next;
     }
 
     /** Moves on to the next address after a failure. */
@@ -47,9 +58,23 @@
         nextIndex = (nextIndex + 1) & Integer.MAX_VALUE;
     }
 
-    /** Sets the leader's address, as returned by a process that is not the leader; may be empty. */
-    void setLeader(String address) {
-        leader = address.isEmpty() ? null : parse(address);
+    /** Records that the process at an address has not responded. */
+    void markSilent(HostPort address, long nowNanos) {
+        silent = address;
+        silentUntilNanos = nowNanos + SILENCE_NANOS;
+    }
+
+    /**
+     * Sets the leader's address, as returned by a process that is not the leader; may be empty.
+     * Ignored while it is known not to respond.
+     */
+    void setLeader(String address, long nowNanos) {
+        HostPort named = address.isEmpty() ? null : parse(address);
+        leader = isSilent(named, nowNanos) ? null : named;
+    }
+
+    private boolean isSilent(HostPort address, long nowNanos) {
+        return address != null && address.equals(silent) && nowNanos - silentUntilNanos < 0;
     }
 
     /** Tells whether the next address is that of a leader that has not been tried. */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -42,6 +42,10 @@
     private static final long TICK_MILLIS = 40;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final long RESPONSE_TIMEOUT_MILLIS = 600;
+
+    /** A leader answers requests for rate tokens at once, unlike renewals. */
+    private static final long RATE_TIMEOUT_MILLIS = 300;
+
     private static final long RETRY_MILLIS = 40;
 
     /** How long a fence is delayed at most for statements in flight at the primary. */
@@ -61,6 +65,8 @@
     private Timer renewTimer;
     private Counter lostRenewals;
     private FrameConnection connection;
+    private HostPort target;
+    private FrameConnection rateConnection;
     private boolean isConnecting;
     private final ControlAddresses addresses;
     private long sequence;
@@ -170,14 +176,17 @@
         if (isRenewing
                 && !responseReceived
                 && now - renewalSentAtNanos > RESPONSE_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
-            lostRenewals.increment();
-            retryAtNextAddress();
+            onSilence(now);
         }
         boolean rateTimedOut =
                 rateCallback != null
-                        && now - rateSentAtNanos > RESPONSE_TIMEOUT_MILLIS * NANOS_PER_MILLI;
+                        && now - rateSentAtNanos > RATE_TIMEOUT_MILLIS * NANOS_PER_MILLI;
         if (rateTimedOut) {
+            boolean isSameConnection = rateConnection == connection;
             completeRateRequest(RateAnswer.getDefaultInstance());
+            if (isSameConnection && connection != null && !isStopping) {
+                onSilence(now);
+            }
         }
         if (isRenewing || now - nextRenewNanos < 0) {
             return;
@@ -197,6 +206,13 @@
         }
     }
 
+    /** Moves on from a control process that has not responded in time. */
+    private void onSilence(long nowNanos) {
+        lostRenewals.increment();
+        addresses.markSilent(target, nowNanos);
+        retryAtNextAddress();
+    }
+
     private void retryAtNextAddress() {
         if (connection != null) {
             connection.close();
@@ -213,7 +229,7 @@
             return;
         }
         isConnecting = true;
-        HostPort target = addresses.next();
+        target = addresses.next(EventLoop.nowNanos());
         client.connect(
                 target.host(),
                 target.port(),
@@ -299,7 +315,7 @@
                 }
             }
             case ERROR_ANSWER -> {
-                addresses.setLeader(frame.getErrorAnswer().getMessage());
+                addresses.setLeader(frame.getErrorAnswer().getMessage(), EventLoop.nowNanos());
                 retryAtNextAddress();
                 if (addresses.hasLeader()) {
                     renewSoon();
@@ -398,6 +414,7 @@
         rateCorrelation++;
         rateSentAtNanos = EventLoop.nowNanos();
         rateCallback = onAnswer;
+        rateConnection = connection;
         rateParticipants.forEach(participant -> participant.addTo(request, rateSentAtNanos));
         request.setProxyId(settings.id()).setIncarnation(incarnation);
         connection.send(
