--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/RateOwners.java
@@ -20,13 +20,17 @@
  */
 final class RateOwners {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long GRANT_MILLIS = 500;
+
+    /** Longer than proxies hold tokens ahead of demand, so that they seldom expire in use. */
+    private static final long GRANT_MILLIS = 3_000;
+
+    private static final long UNKNOWN_ACCOUNT_RETRY_MILLIS = 500;
     private static final long EXPIRY_MARGIN_MILLIS = 100;
 
     private final Configuration configuration;
     private final Map<ClientAccountId, AccountBucket> owners = new HashMap<>();
     private final long firstGrantId;
-    private final long leaderSinceNanos;
+    private final long emptySinceNanos;
     private final WarmupOwners warmups;
 
     private static final class AccountBucket {
@@ -42,19 +46,19 @@
     /**
      * Creates the buckets of a new leader.
      *
-     * @param leaderSinceNanos when this process became leader; the tokens that earlier leaders
-     *     granted are unknown, so each bucket starts empty at that time
+     * @param emptySinceNanos when the earlier leader had ended; how many tokens it granted is
+     *     unknown, so each bucket is empty at that time
      * @param warmup by how much a second may exceed the rate of a cold endpoint
      */
     RateOwners(
             Configuration configuration,
             long firstGrantId,
-            long leaderSinceNanos,
+            long emptySinceNanos,
             ControlSettings.Warmup warmup) {
-        this.leaderSinceNanos = leaderSinceNanos;
+        this.emptySinceNanos = emptySinceNanos;
         this.configuration = configuration;
         this.firstGrantId = firstGrantId;
-        this.warmups = new WarmupOwners(configuration, warmup, leaderSinceNanos);
+        this.warmups = new WarmupOwners(configuration, warmup, emptySinceNanos);
     }
 
     RateAnswer grantRates(RateRequest request, long nowNanos) {
@@ -74,7 +78,7 @@
         Account account = configuration.account(new ClientAccountId(want.getAccountId()));
         if (account == null) {
             owners.remove(new ClientAccountId(want.getAccountId()));
-            return grant.setRetryAfterMillis(GRANT_MILLIS).build();
+            return grant.setRetryAfterMillis(UNKNOWN_ACCOUNT_RETRY_MILLIS).build();
         }
         RateOwner owner = owner(account, nowNanos);
         for (int i = 0; i < want.getClosedGrantIdsCount(); i++) {
@@ -83,8 +87,14 @@
         if (want.getWanted() == 0) {
             return grant.build();
         }
+        int ahead = Math.min(want.getAhead(), want.getWanted());
         RateOwner.Granted granted =
-                owner.grant(holder, want.getWanted(), GRANT_MILLIS * NANOS_PER_MILLI, nowNanos);
+                owner.grant(
+                        holder,
+                        want.getWanted() - ahead,
+                        ahead,
+                        GRANT_MILLIS * NANOS_PER_MILLI,
+                        nowNanos);
         return grant.setGrantId(granted.id())
                 .setTokens(granted.tokens())
                 .setValidMillis(granted.validNanos() / NANOS_PER_MILLI)
@@ -102,7 +112,7 @@
                             account.burst(),
                             EXPIRY_MARGIN_MILLIS * NANOS_PER_MILLI,
                             firstGrantId,
-                            leaderSinceNanos);
+                            emptySinceNanos);
             owners.put(account.id(), new AccountBucket(owner, account));
             return owner;
         }
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateFallbackTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateFallbackTest.java
@@ -12,7 +12,7 @@
     private static int taken(RateFallback fallback, int proxies, int millis, long fromNanos) {
         int taken = 0;
         for (int at = 0; at <= millis; at += 2) {
-            if (fallback.tryTake(RATE, proxies, fromNanos + at * MILLI)) {
+            if (fallback.tryTake(RATE, proxies, 0, fromNanos, fromNanos + at * MILLI)) {
                 taken++;
             }
         }
@@ -30,12 +30,22 @@
         assertTrue(all >= RATE, "took only " + all);
     }
 
+    @Test
+    void aProxyWithMostOfTheDemandGoesOnAtTheRateAtWhichItSpent() {
+        RateFallback fallback = new RateFallback();
+        int taken = 0;
+        for (int at = 0; at <= 2_000; at += 2) {
+            taken += fallback.tryTake(RATE, 6, 50, 0, at * MILLI) ? 1 : 0;
+        }
+        assertTrue(taken >= 98 && taken <= 100, "took " + taken);
+    }
+
     @Test
     void aPauseAccumulatesNoMoreThanHalfASecondOfTokens() {
         RateFallback fallback = new RateFallback();
         taken(fallback, 1, 100, 0);
         int burst = 0;
-        while (fallback.tryTake(RATE, 1, 60_000 * MILLI)) {
+        while (fallback.tryTake(RATE, 1, 0, 0, 60_000 * MILLI)) {
             burst++;
         }
         assertTrue(burst <= RATE / 2);
@@ -46,6 +56,6 @@
         RateFallback fallback = new RateFallback();
         taken(fallback, 1, 1_000, 0);
         fallback.end();
-        assertTrue(!fallback.tryTake(RATE, 1, 90_000 * MILLI));
+        assertTrue(!fallback.tryTake(RATE, 1, 0, 90_000 * MILLI, 90_000 * MILLI));
     }
 }
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateProperties.java
@@ -93,8 +93,7 @@
             owner.close(spender.name, one.grantId(), one.unused(), now);
         }
         RateOwner.Granted granted =
-                owner.grant(
-                        spender.name, spender.share.tokensToRequest(1, now), VALIDITY_NANOS, now);
+                owner.grant(spender.name, 1, spender.share.tokensAhead(now), VALIDITY_NANOS, now);
         boolean responseLost = faults && random.nextInt(10) == 0;
         if (granted.tokens() > 0 && !responseLost) {
             spender.share.addGrant(granted.id(), granted.tokens(), now + granted.validNanos());
@@ -106,6 +105,6 @@
             @ForAll @IntRange(min = 1, max = 1000) int burst,
             @ForAll @LongRange(min = 0, max = 1_000_000_000_000L) long now) {
         RateOwner owner = new RateOwner(1, burst, MARGIN_NANOS, 1, now);
-        assertTrue(owner.grant("proxy", burst, VALIDITY_NANOS, now).tokens() == 0);
+        assertTrue(owner.grant("proxy", burst, 0, VALIDITY_NANOS, now).tokens() == 0);
     }
 }
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateSimulation.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateSimulation.java
@@ -15,15 +15,19 @@
  */
 final class RateSimulation {
     private static final long MILLI = 1_000_000;
-    private static final long LOOKAHEAD_NANOS = 100 * MILLI;
-    private static final long GRANT_NANOS = 500 * MILLI;
+    private static final long COVER_NANOS = 800 * MILLI;
+    private static final long GRANT_NANOS = 3_000 * MILLI;
     private static final long MARGIN_NANOS = 100 * MILLI;
-    private static final int MAX_WAIT_MILLIS = 100;
+    private static final int OUTAGE_MILLIS = 150;
+    private static final int RESPONSE_TIMEOUT_MILLIS = 600;
+    private static final long FIRST_GRANT_OF_NEXT_OWNER = 1_000_000;
     private static final int CLOSED_REPORT_INTERVAL_MILLIS = 100;
     private static final int WARM_UP_MILLIS = 3_000;
 
     private final Random random;
-    private final RateOwner owner;
+    private final double ratePerSecond;
+    private final double burst;
+    private RateOwner owner;
     private final List<Proxy> proxies = new ArrayList<>();
     private final Map<Integer, List<Runnable>> dueActions = new HashMap<>();
     private final int roundTripMillis;
@@ -31,6 +35,9 @@
     private final List<Integer> servedAtMillis = new ArrayList<>();
     private int nowMillis;
     private int rejected;
+    private int maxWaitMillis = 100;
+    private int silentSinceMillis;
+    private int silentUntilMillis;
     private int messages;
     private int servedImmediately;
 
@@ -42,19 +49,21 @@
             double requestsPerSecond,
             int roundTripMillis) {
         this.random = new Random(seed);
+        this.ratePerSecond = ratePerSecond;
+        this.burst = burst;
         this.owner = new RateOwner(ratePerSecond, burst, MARGIN_NANOS, 1, 0);
         this.requestsPerSecond = requestsPerSecond;
         this.roundTripMillis = roundTripMillis;
         for (int i = 0; i < proxyCount; i++) {
             Proxy proxy = new Proxy("p" + i);
-            proxy.share.updateSharing(burst, proxyCount);
             proxies.add(proxy);
         }
     }
 
     private final class Proxy {
         final String name;
-        final RateShare share = new RateShare(LOOKAHEAD_NANOS, 0);
+        final RateFallback fallback = new RateFallback();
+        final RateShare share = new RateShare(COVER_NANOS, 0);
         final Deque<Integer> waitingSinceMillis = new ArrayDeque<>();
         boolean requestInFlight;
         boolean exhausted;
@@ -74,11 +83,18 @@
         }
 
         void step(long now) {
-            boolean mayReject = exhausted && !waitingSinceMillis.isEmpty();
-            if (mayReject && nowMillis - waitingSinceMillis.peekFirst() >= MAX_WAIT_MILLIS) {
+            boolean mayReject = exhausted || nowMillis < silentUntilMillis;
+            boolean isWaiting = !waitingSinceMillis.isEmpty();
+            if (mayReject
+                    && isWaiting
+                    && nowMillis - waitingSinceMillis.peekFirst() >= maxWaitMillis) {
                 waitingSinceMillis.removeFirst();
                 rejected += nowMillis >= WARM_UP_MILLIS ? 1 : 0;
             }
+            if (silentUntilMillis - nowMillis > 0
+                    && nowMillis >= silentSinceMillis + OUTAGE_MILLIS) {
+                takeFromFallback(now);
+            }
             boolean wantsTokens =
                     now >= retryAtNanos && (!waitingSinceMillis.isEmpty() || share.isLow(now));
             boolean reportsClosed =
@@ -88,19 +104,42 @@
             }
         }
 
+        /** Admits what waits for longer than an outage lasts unnoticed. */
+        private void takeFromFallback(long now) {
+            while (!waitingSinceMillis.isEmpty()
+                    && fallback.tryTake(
+                            ratePerSecond,
+                            proxies.size(),
+                            share.meanPerSecond(now),
+                            silentSinceMillis * MILLI,
+                            now)) {
+                share.recordSpent(now);
+                waitingSinceMillis.removeFirst();
+                recordServed();
+            }
+        }
+
         private void sendRequest(long now, boolean wantsTokens) {
             requestInFlight = true;
             messages++;
-            int wanted = wantsTokens ? share.tokensToRequest(waitingSinceMillis.size(), now) : 0;
+            int waiting = wantsTokens ? waitingSinceMillis.size() : 0;
+            int ahead = wantsTokens ? share.tokensAhead(now) : 0;
             List<RateShare.Closed> closed = share.drainClosedGrants(now);
-            after(roundTripMillis / 2, () -> handleRequest(now, wanted, closed));
+            if (nowMillis < silentUntilMillis) {
+                after(RESPONSE_TIMEOUT_MILLIS, () -> requestInFlight = false);
+                return;
+            }
+            after(roundTripMillis / 2, () -> handleRequest(now, waiting, ahead, closed));
         }
 
-        private void handleRequest(long sentAtNanos, int wanted, List<RateShare.Closed> closed) {
+        private void handleRequest(
+                long sentAtNanos, int waiting, int ahead, List<RateShare.Closed> closed) {
             long now = nowMillis * MILLI;
             closed.forEach(one -> owner.close(name, one.grantId(), one.unused(), now));
             RateOwner.Granted granted =
-                    wanted == 0 ? null : owner.grant(name, wanted, GRANT_NANOS, now);
+                    waiting + ahead == 0
+                            ? null
+                            : owner.grant(name, waiting, ahead, GRANT_NANOS, now);
             after(
                     roundTripMillis - roundTripMillis / 2,
                     () -> handleResponse(sentAtNanos, granted));
@@ -109,11 +148,15 @@
         private void handleResponse(long sentAtNanos, RateOwner.Granted granted) {
             long now = nowMillis * MILLI;
             requestInFlight = false;
+            fallback.end();
             if (granted == null) {
                 return;
             }
-            exhausted = granted.tokens() == 0;
-            if (exhausted) {
+            if (granted.tokens() == 0) {
+                share.pauseAhead(now);
+            }
+            exhausted = granted.tokens() == 0 && granted.retryAfterNanos() > 0;
+            if (granted.tokens() == 0) {
                 retryAtNanos = now + granted.retryAfterNanos();
                 return;
             }
@@ -133,6 +176,30 @@
         dueActions.computeIfAbsent(nowMillis + millis, key -> new ArrayList<>()).add(action);
     }
 
+    /** Lets requests wait for longer, as sessions with a latency objective do. */
+    RateSimulation waitUpTo(int millis) {
+        maxWaitMillis = millis;
+        return this;
+    }
+
+    /** Replaces the owner, whose state is lost, by an empty one after some time without answers. */
+    RateSimulation replaceOwner(int atMillis, int silentMillis) {
+        after(
+                atMillis,
+                () -> {
+                    silentSinceMillis = nowMillis;
+                    silentUntilMillis = nowMillis + silentMillis;
+                    owner =
+                            new RateOwner(
+                                    ratePerSecond,
+                                    burst,
+                                    MARGIN_NANOS,
+                                    FIRST_GRANT_OF_NEXT_OWNER,
+                                    silentUntilMillis * MILLI);
+                });
+        return this;
+    }
+
     /** Runs the simulation; requests arrive at random times at proxies drawn at random. */
     RateSimulation run(int millis) {
         for (nowMillis = 0; nowMillis < millis; nowMillis++) {
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateSimulationTest.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/rate/RateSimulationTest.java
@@ -12,6 +12,13 @@
     private static final int DURATION_SECONDS = DURATION_MILLIS / 1000;
     private static final int ROUND_TRIP_MILLIS = 26;
     private static final int WINDOW_MILLIS = 5_000;
+    private static final int OWNER_LOST_AT_MILLIS = 15_000;
+
+    /** Time in which an owner that starts empty has refilled. */
+    private static final int EMPTY_OWNER_MILLIS = 1_000;
+
+    private static final int HALF_OF_OBJECTIVE_MILLIS = 150;
+    private static final int OWNER_SILENT_MILLIS = 1_000;
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
@@ -73,4 +80,27 @@
                 simulation.messages() <= 3 * simulation.served(),
                 simulation.messages() + " messages");
     }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void nineTenthsOfALargeAccountAreServedWhileTheOwnerIsReplaced(long seed) {
+        int affected = 60 * (OWNER_SILENT_MILLIS + EMPTY_OWNER_MILLIS) / 1000;
+        RateSimulation simulation =
+                new RateSimulation(seed, 9, 95, 95, 60, ROUND_TRIP_MILLIS)
+                        .waitUpTo(HALF_OF_OBJECTIVE_MILLIS)
+                        .replaceOwner(OWNER_LOST_AT_MILLIS, OWNER_SILENT_MILLIS)
+                        .run(DURATION_MILLIS);
+        assertTrue(simulation.rejected() <= 0.1 * affected, simulation.rejected() + " rejected");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void anAccountAboveItsRateGetsNoMoreWhileTheOwnerIsReplaced(long seed) {
+        RateSimulation simulation =
+                new RateSimulation(seed, 9, 40, 40, 160, ROUND_TRIP_MILLIS)
+                        .replaceOwner(OWNER_LOST_AT_MILLIS, OWNER_SILENT_MILLIS)
+                        .run(DURATION_MILLIS);
+        int allowed = 40 * WINDOW_MILLIS / 1000 + 40;
+        assertTrue(simulation.mostServedWithin(WINDOW_MILLIS) <= allowed);
+    }
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/rate/RateOwner.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/rate/RateOwner.java
@@ -8,11 +8,15 @@
  *
  * <p>Invariant: tokens in the bucket plus tokens granted and not known to be spent or expired never
  * exceed the burst, and the bucket refills at the rate. So within any window the fleet admits at
- * most rate times window plus burst. A new owner starts empty. Not thread safe.
+ * most rate times window plus burst. A new owner starts empty. Tokens that no request waits for are
+ * granted only while more than half of the burst is left for requests that do. Not thread safe.
  */
 public final class RateOwner {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** The part of the burst that is kept for requests that wait. */
+    private static final double RESERVED_FRACTION = 0.5;
+
     private final Map<Long, Grant> open = new HashMap<>();
     private final long expiryMarginNanos;
     private double ratePerSecond;
@@ -29,7 +33,8 @@
      * @param id unique among the grants of the owner
      * @param tokens number of tokens; 0 when the bucket has none
      * @param validNanos how long they may be spent, counted from sending the request
-     * @param retryAfterNanos time until a token is refilled when none was granted; else 0
+     * @param retryAfterNanos time until a token is refilled when none was granted to requests that
+     *     wait; else 0
      */
     public record Granted(long id, int tokens, long validNanos, long retryAfterNanos) {}
 
@@ -73,14 +78,20 @@
      * Grants tokens.
      *
      * @param proxy the requesting proxy
-     * @param wanted the most tokens to grant
+     * @param waiting tokens for requests that wait
+     * @param ahead tokens for requests that are expected
      * @param validNanos how long the proxy may spend them
      * @param nowNanos the monotonic time
      * @return the grant, with 0 tokens when the bucket has none
      */
-    public Granted grant(String proxy, int wanted, long validNanos, long nowNanos) {
+    public Granted grant(String proxy, int waiting, int ahead, long validNanos, long nowNanos) {
         refill(nowNanos);
-        int tokens = (int) Math.min(wanted, Math.floor(level));
+        int tokens = (int) Math.min(waiting, Math.floor(level));
+        double spare = Math.floor(level - tokens - RESERVED_FRACTION * burst);
+        tokens += (int) Math.max(0, Math.min(ahead, spare));
+        if (tokens <= 0 && waiting <= 0) {
+            return new Granted(0, 0, 0, 0);
+        }
         if (tokens <= 0) {
             double missing = 1 - level;
             long waitNanos = (long) Math.ceil(missing / ratePerSecond * NANOS_PER_SECOND);
--- a/org.chivevale.core/src/main/java/org/chivevale/core/rate/RateShare.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/rate/RateShare.java
@@ -8,27 +8,38 @@
 /**
  * One proxy's tokens of one client account.
  *
- * <p>While tokens are ample, they are requested ahead of demand, so that a request need not wait
- * for the owner; where many proxies share a small burst, they are requested one by one, since
- * unused tokens of one proxy would be missing at the others. Invariant: a token is spent at most
+ * <p>Tokens are requested ahead of demand, enough for the time that a change of the owner takes:
+ * requests go on while the owner does not respond, and seldom wait for it otherwise. The owner
+ * grants them while they are not missing where requests wait. Invariant: a token is spent at most
  * once and never after its grant has expired. Not thread safe.
  */
 public final class RateShare {
-    /** Burst tokens per proxy at which each proxy may prefetch. */
-    private static final double AMPLE_TOKENS_PER_PROXY = 4;
+    private static final long WINDOW_NANOS = 100_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
 
-    /** Demand per window below which scarce tokens are requested one by one. */
-    private static final double MIN_PREFETCH_DEMAND = 1;
+    private static final long AHEAD_PAUSE_NANOS = 2_000_000_000L;
 
-    private static final double DEMAND_SMOOTHING_FACTOR = 0.3;
+    /** Mean demand per window from which at least one token is held. */
+    private static final double MIN_PREFETCH_DEMAND = 0.02;
+
+    /** Follows a burst within a few windows. */
+    private static final double RECENT_SMOOTHING_FACTOR = 0.3;
+
+    /** Averages over about a second, so that single requests of small accounts do not count. */
+    private static final double MEAN_SMOOTHING_FACTOR = 0.1;
+
+    /** Mean demand per window at which the windows of an idle time are skipped. */
+    private static final double NEGLIGIBLE_DEMAND = 0.001;
 
     private final Deque<HeldGrant> held = new ArrayDeque<>();
     private final List<Closed> closed = new ArrayList<>();
-    private final long lookaheadNanos;
+    private final double windowsToCover;
     private long windowStartNanos;
     private int spentInWindow;
-    private double demandPerWindow;
-    private double minPrefetchDemand = MIN_PREFETCH_DEMAND;
+    private double recentPerWindow;
+    private double meanPerWindow;
+    private boolean isAheadPaused;
+    private long aheadAgainNanos;
 
     private static final class HeldGrant {
         final long id;
@@ -53,24 +64,23 @@
     /**
      * Creates a share without tokens.
      *
-     * @param lookaheadNanos how far ahead demand is covered; also the window in which it is
-     *     measured
+     * @param coverNanos for how long tokens are held ahead of demand
      * @param nowNanos the monotonic time
      */
-    public RateShare(long lookaheadNanos, long nowNanos) {
-        this.lookaheadNanos = lookaheadNanos;
+    public RateShare(long coverNanos, long nowNanos) {
+        this.windowsToCover = (double) coverNanos / WINDOW_NANOS;
         this.windowStartNanos = nowNanos;
     }
 
     /**
-     * Sets whether tokens are ample, and hence prefetchTarget at any demand.
+     * Returns the rate at which tokens were spent in the last seconds.
      *
-     * @param burst the account's burst over all proxies
-     * @param proxies how many proxies share it
+     * @param nowNanos the monotonic time
+     * @return the mean in tokens a second
      */
-    public void updateSharing(double burst, int proxies) {
-        boolean ample = burst >= AMPLE_TOKENS_PER_PROXY * proxies;
-        minPrefetchDemand = ample ? 0 : MIN_PREFETCH_DEMAND;
+    public double meanPerSecond(long nowNanos) {
+        rollWindow(nowNanos);
+        return meanPerWindow * NANOS_PER_SECOND / WINDOW_NANOS;
     }
 
     /**
@@ -86,7 +96,7 @@
         if (first == null) {
             return false;
         }
-        spentInWindow++;
+        recordSpent(nowNanos);
         first.tokens--;
         if (first.tokens == 0) {
             closed.add(new Closed(first.id, 0));
@@ -95,6 +105,16 @@
         return true;
     }
 
+    /**
+     * Counts a request as demand, as when it was admitted without a token of this share.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void recordSpent(long nowNanos) {
+        rollWindow(nowNanos);
+        spentInWindow++;
+    }
+
     /**
      * Adds a grant of the owner.
      *
@@ -107,17 +127,35 @@
     }
 
     /**
-     * Returns how many tokens to request.
+     * Returns how many tokens to request for requests that do not wait yet.
      *
-     * @param waiting number of requests that wait for a token
      * @param nowNanos the monotonic time
-     * @return enough for the waiting requests and for the demand expected in the look-ahead
+     * @return enough for the demand expected in the time to cover
      */
-    public int tokensToRequest(int waiting, long nowNanos) {
+    public int tokensAhead(long nowNanos) {
         rollWindow(nowNanos);
-        int prefetchTarget =
-                demandPerWindow < minPrefetchDemand ? 0 : (int) Math.ceil(demandPerWindow);
-        return waiting + Math.max(0, prefetchTarget - tokens());
+        return mayRequestAhead(nowNanos) ? Math.max(0, targetTokens() - tokens()) : 0;
+    }
+
+    private int targetTokens() {
+        double expected = Math.max(recentPerWindow, meanPerWindow * windowsToCover);
+        int atLeast = meanPerWindow >= MIN_PREFETCH_DEMAND ? 1 : 0;
+        return Math.max(atLeast, (int) Math.round(expected));
+    }
+
+    /**
+     * Stops requests for tokens ahead of demand for some time, since the owner has none to spare.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void pauseAhead(long nowNanos) {
+        isAheadPaused = true;
+        aheadAgainNanos = nowNanos + AHEAD_PAUSE_NANOS;
+    }
+
+    private boolean mayRequestAhead(long nowNanos) {
+        isAheadPaused &= nowNanos - aheadAgainNanos < 0;
+        return !isAheadPaused;
     }
 
     /**
@@ -137,12 +175,12 @@
      * Tells whether to request tokens before those held run out.
      *
      * @param nowNanos the monotonic time
-     * @return true when less than half of the expected demand is held and demand justifies a
-     *     prefetch
+     * @return true when less than three quarters of the target is held and requests ahead are not
+     *     paused
      */
     public boolean isLow(long nowNanos) {
         rollWindow(nowNanos);
-        return demandPerWindow >= minPrefetchDemand && tokens() * 2 < demandPerWindow;
+        return mayRequestAhead(nowNanos) && tokens() * 4 < targetTokens() * 3;
     }
 
     /**
@@ -177,11 +215,13 @@
     }
 
     private void rollWindow(long nowNanos) {
-        while (nowNanos - windowStartNanos >= lookaheadNanos) {
-            demandPerWindow += DEMAND_SMOOTHING_FACTOR * (spentInWindow - demandPerWindow);
+        while (nowNanos - windowStartNanos >= WINDOW_NANOS) {
+            recentPerWindow += RECENT_SMOOTHING_FACTOR * (spentInWindow - recentPerWindow);
+            meanPerWindow += MEAN_SMOOTHING_FACTOR * (spentInWindow - meanPerWindow);
             spentInWindow = 0;
-            windowStartNanos += lookaheadNanos;
-            if (demandPerWindow < 0.01 && nowNanos - windowStartNanos > lookaheadNanos) {
+            windowStartNanos += WINDOW_NANOS;
+            boolean isIdle = meanPerWindow < NEGLIGIBLE_DEMAND;
+            if (isIdle && nowNanos - windowStartNanos > WINDOW_NANOS) {
                 windowStartNanos = nowNanos;
             }
         }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
@@ -34,16 +34,24 @@
  * <p>The tokens of an account's bucket are granted by the owner of rates at control. Invariants:
  * each admitted request has spent a granted token or, while the owner does not respond, one of the
  * local fallback; a request is rejected with RATE_EXCEEDED only after the owner has reported an
- * empty bucket or the queue is full. Used on the event loop.
+ * empty bucket or the queue is full; a request that cannot get a token while it may wait is
+ * rejected on arrival. Used on the event loop.
  */
 public final class RateLimiter implements Service {
     /** Name in the kernel. */
     public static final String NAME = "rate-gate";
 
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final long WAITING_TICK_MILLIS = 5;
     private static final long RETURN_TICK_MILLIS = 100;
-    private static final long LOOKAHEAD_NANOS = 100 * NANOS_PER_MILLI;
+
+    /** Demand for which tokens are held, about the time that the election of a leader takes. */
+    private static final long COVER_NANOS = 800 * NANOS_PER_MILLI;
+
+    /** Silence of the owner that no change of the leader explains. */
+    private static final long OWNER_CHANGE_NANOS = 1_200 * NANOS_PER_MILLI;
+
     private static final long RETURN_INTERVAL_NANOS = 100 * NANOS_PER_MILLI;
 
     /** Time without a response after which the owner counts as unreachable. */
@@ -78,12 +86,12 @@
         boolean isExhausted;
 
         AccountLimiter(long nowNanos) {
-            share = new RateShare(LOOKAHEAD_NANOS, nowNanos);
+            share = new RateShare(COVER_NANOS, nowNanos);
             retryAtNanos = nowNanos;
         }
     }
 
-    private record Waiter(Promise<Void> promise, long waitEndNanos, long deadlineNanos) {}
+    private record Waiter(Promise<Void> promise, long waitEndNanos) {}
 
     /**
      * Creates the rate limiter.
@@ -135,13 +143,26 @@
     }
 
     /**
-     * Spends a token of the account and waits for one if necessary.
+     * Spends a token of the account and waits for one as long as the settings allow.
      *
      * @param account the client account
      * @param deadlineNanos the request's deadline
      * @return completes when the request may run; fails with RATE_EXCEEDED or RATE_OWNER_MISSING
      */
     public Future<Void> admit(ClientAccountId account, long deadlineNanos) {
+        long waitEndNanos =
+                EventLoop.nowNanos() + settings.timing().maxRateWaitMillis() * NANOS_PER_MILLI;
+        return admitUntil(account, Math.min(waitEndNanos, deadlineNanos));
+    }
+
+    /**
+     * Spends a token of the account and waits for one if necessary.
+     *
+     * @param account the client account
+     * @param waitEndNanos until when the request may wait, on the monotonic clock
+     * @return completes when the request may run; fails with RATE_EXCEEDED or RATE_OWNER_MISSING
+     */
+    public Future<Void> admitUntil(ClientAccountId account, long waitEndNanos) {
         long now = EventLoop.nowNanos();
         AccountLimiter limiter = limiters.computeIfAbsent(account, key -> new AccountLimiter(now));
         if (limiter.waiters.isEmpty() && limiter.share.tryTake(now)) {
@@ -150,24 +171,41 @@
             }
             return Future.succeededFuture();
         }
-        if (limiter.waiters.size() >= MAX_WAITERS) {
+        if (ownerSilenceNanos(now) > OWNER_CHANGE_NANOS) {
+            return takeFromFallback(account, limiter, now)
+                    ? Future.succeededFuture()
+                    : Future.failedFuture(ownerMissing(account));
+        }
+        if (limiter.waiters.size() >= MAX_WAITERS || comesTooLate(account, limiter, waitEndNanos)) {
             return Future.failedFuture(rateExceeded(account, limiter, now));
         }
-        updateScarcity(account, limiter);
-        long waitEndNanos = now + settings.timing().maxRateWaitMillis() * NANOS_PER_MILLI;
         Promise<Void> promise = Promise.promise();
-        limiter.waiters.addLast(
-                new Waiter(promise, Math.min(waitEndNanos, deadlineNanos), deadlineNanos));
+        limiter.waiters.addLast(new Waiter(promise, waitEndNanos));
         requestTokens();
         scheduleTick();
         return promise.future();
     }
 
-    private void updateScarcity(ClientAccountId account, AccountLimiter limiter) {
+    /** Returns true when the token of a new waiter comes too late even if no other proxy asks. */
+    private boolean comesTooLate(
+            ClientAccountId account, AccountLimiter limiter, long waitEndNanos) {
         Account configured = directory.configuration().account(account);
-        if (configured != null) {
-            limiter.share.updateSharing(configured.burst(), Math.max(1, directory.proxyCount()));
+        if (!limiter.isExhausted || configured == null) {
+            return false;
         }
+        double tokenNanos = NANOS_PER_SECOND / configured.ratePerSecond();
+        long earliestNanos = limiter.retryAtNanos + (long) (limiter.waiters.size() * tokenNanos);
+        return earliestNanos - waitEndNanos > 0;
+    }
+
+    private long ownerSilenceNanos(long nowNanos) {
+        return isAwaitingOwner ? nowNanos - awaitingSinceNanos : 0;
+    }
+
+    private static ChivevaleException ownerMissing(ClientAccountId account) {
+        return new ChivevaleException(
+                ResultCode.RATE_OWNER_MISSING,
+                "no answer on the rate of client account " + account);
     }
 
     private ChivevaleException rateExceeded(
@@ -185,7 +223,7 @@
 
     private void tick() {
         long now = EventLoop.nowNanos();
-        if (isAwaitingOwner && now - awaitingSinceNanos > OWNER_OUTAGE_NANOS) {
+        if (ownerSilenceNanos(now) > OWNER_OUTAGE_NANOS) {
             limiters.forEach((account, limiter) -> admitFromFallback(account, limiter, now));
         }
         limiters.forEach((account, limiter) -> expireWaiters(account, limiter, now));
@@ -199,38 +237,44 @@
         }
     }
 
-    /** Admits waiters from a part of this proxy's even share while the owner does not respond. */
     private void admitFromFallback(ClientAccountId account, AccountLimiter limiter, long nowNanos) {
-        Account configured = directory.configuration().account(account);
-        if (configured == null || !directory.isLeased(nowNanos)) {
-            return;
-        }
-        int proxies = directory.proxyCount();
-        while (!limiter.waiters.isEmpty()
-                && limiter.fallback.tryTake(configured.ratePerSecond(), proxies, nowNanos)) {
+        while (!limiter.waiters.isEmpty() && takeFromFallback(account, limiter, nowNanos)) {
             outcomes.addLast(limiter.waiters.removeFirst().promise()::complete);
         }
     }
 
-    private void expireWaiters(ClientAccountId account, AccountLimiter limiter, long nowNanos) {
-        while (!limiter.waiters.isEmpty()) {
-            Waiter first = limiter.waiters.peekFirst();
-            boolean isExceeded = limiter.isExhausted && nowNanos - first.waitEndNanos() >= 0;
-            if (isExceeded) {
-                limiter.waiters.removeFirst();
-                ChivevaleException failure = rateExceeded(account, limiter, nowNanos);
-                outcomes.addLast(() -> first.promise().fail(failure));
-            } else if (nowNanos - first.deadlineNanos() >= 0) {
-                limiter.waiters.removeFirst();
-                ChivevaleException failure =
-                        new ChivevaleException(
-                                ResultCode.RATE_OWNER_MISSING,
-                                "no answer on the rate of client account " + account);
-                outcomes.addLast(() -> first.promise().fail(failure));
-            } else {
-                return;
-            }
+    /** Takes from a part of this proxy's even share, while the owner does not respond. */
+    private boolean takeFromFallback(
+            ClientAccountId account, AccountLimiter limiter, long nowNanos) {
+        Account configured = directory.configuration().account(account);
+        boolean isTaken =
+                configured != null
+                        && directory.isLeased(nowNanos)
+                        && limiter.fallback.tryTake(
+                                configured.ratePerSecond(),
+                                directory.proxyCount(),
+                                limiter.share.meanPerSecond(nowNanos),
+                                awaitingSinceNanos,
+                                nowNanos);
+        if (isTaken) {
+            limiter.share.recordSpent(nowNanos);
         }
+        return isTaken;
+    }
+
+    private void expireWaiters(ClientAccountId account, AccountLimiter limiter, long nowNanos) {
+        limiter.waiters.removeIf(
+                waiter -> {
+                    boolean isExpired = nowNanos - waiter.waitEndNanos() >= 0;
+                    if (isExpired) {
+                        ChivevaleException failure =
+                                limiter.isExhausted && ownerSilenceNanos(nowNanos) == 0
+                                        ? rateExceeded(account, limiter, nowNanos)
+                                        : ownerMissing(account);
+                        outcomes.addLast(() -> waiter.promise().fail(failure));
+                    }
+                    return isExpired;
+                });
     }
 
     private void requestTokens() {
@@ -273,7 +317,8 @@
         }
         RateWant.Builder want = RateWant.newBuilder().setAccountId(account.value());
         if (wants) {
-            want.setWanted(limiter.share.tokensToRequest(limiter.waiters.size(), nowNanos));
+            int ahead = limiter.share.tokensAhead(nowNanos);
+            want.setWanted(limiter.waiters.size() + ahead).setAhead(ahead);
         }
         for (RateShare.Closed grant : closed) {
             want.addClosedGrantIds(grant.grantId()).addClosedUnused(grant.unused());
@@ -306,6 +351,7 @@
                 limiter.isExhausted = true;
                 limiter.retryAtNanos = nowNanos + grant.getRetryAfterMillis() * NANOS_PER_MILLI;
             }
+            limiter.share.pauseAhead(nowNanos);
             return;
         }
         limiter.isExhausted = false;
