--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/ReplicatedLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/ReplicatedLog.java
@@ -40,6 +40,16 @@
      */
     boolean isLeader();
 
+    /**
+     * Returns when the last earlier leader had ended at the latest.
+     *
+     * @param leaderSinceNanos when this process became leader, on the monotonic clock
+     * @return that time, or an earlier one where it is known that no other process led before
+     */
+    default long earlierLeaderEndNanos(long leaderSinceNanos) {
+        return leaderSinceNanos;
+    }
+
     /**
      * Returns the leader, to which operators and proxies send their requests.
      *
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -60,6 +60,7 @@
     private final Random random;
     private final LongSupplier clock;
     private final long termAtStart;
+    private final boolean ledTermAtStart;
     private MemberId self;
     private String selfText;
     private final Election election = new Election(this);
@@ -72,6 +73,8 @@
     private long lastElectionNanos;
     private long nextJoinNanos;
     private boolean leaderKnown;
+    private long processStartNanos;
+    private boolean isLeaderAgain;
     private long electionBackoffNanos = INITIAL_BACKOFF_NANOS;
     private boolean closed;
 
@@ -107,7 +110,9 @@
         this.self = new MemberId(address, store.hardState().getStoreId());
         this.selfText = self.toString();
         this.termAtStart = store.hardState().getTerm();
-        this.lastLeaderContactNanos = now();
+        this.ledTermAtStart = termAtStart > 0 && store.hardState().getLedTerm() == termAtStart;
+        this.processStartNanos = now();
+        this.lastLeaderContactNanos = processStartNanos;
         this.lastElectionNanos = now() - INITIAL_BACKOFF_NANOS;
         this.nextJoinNanos = now();
         scheduleElection();
@@ -156,6 +161,7 @@
      * @param startNanos a time on the node's clock, not before the end of the earlier process
      */
     public void setProcessStart(long startNanos) {
+        processStartNanos = startNanos;
         lastLeaderContactNanos = startNanos;
         electionBackoffNanos = INITIAL_BACKOFF_NANOS;
         scheduleElection();
@@ -172,7 +178,7 @@
      * that rejects this member.
      */
     private boolean wasLeaderBeforeStart() {
-        return term() == termAtStart && term() > 0 && store.hardState().getLedTerm() == term();
+        return ledTermAtStart && term() == termAtStart;
     }
 
     /** Starts an election without delay, unless one was started a moment ago. */
@@ -508,6 +514,7 @@
     }
 
     void becomeLeader() {
+        isLeaderAgain = wasPreviousLeader();
         store.saveHardState(store.hardState().toBuilder().setLedTerm(term()).build());
         role = Role.LEADER;
         onLeaderContact();
@@ -517,6 +524,16 @@
         leadership.append(StoredEntry.newBuilder(), null);
     }
 
+    /** Returns true when the leader before this term was an earlier process of this member. */
+    private boolean wasPreviousLeader() {
+        return ledTermAtStart && term() == termAtStart + 1;
+    }
+
+    @Override
+    public long earlierLeaderEndNanos(long leaderSinceNanos) {
+        return isLeaderAgain ? processStartNanos : leaderSinceNanos;
+    }
+
     RaftLog log() {
         return log;
     }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -144,7 +144,10 @@
         membership = new Membership(state.configuration(), startUnixMillis << 16);
         rates =
                 new RateOwners(
-                        state.configuration(), startUnixMillis << 16, now, settings.warmup());
+                        state.configuration(),
+                        startUnixMillis << 16,
+                        log.earlierLeaderEndNanos(now),
+                        settings.warmup());
         evacuations.reset();
         lastSeenVersion = state.configuration().version();
         loadEndpoints(now);
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -126,6 +126,16 @@
         return node;
     }
 
+    /**
+     * Returns when the last earlier leader had ended at the latest.
+     *
+     * @param leaderSinceNanos when this process became leader, on the monotonic clock
+     * @return that time, or an earlier one where it is known that no other process led before
+     */
+    public long earlierLeaderEndNanos(long leaderSinceNanos) {
+        return log.earlierLeaderEndNanos(leaderSinceNanos);
+    }
+
     /**
      * Replaces the seeds of the log after a reload of the settings.
      *
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -100,6 +100,29 @@
         assertTrue(electedSoon >= 90, electedSoon + " of 100");
     }
 
+    /** What a new leader grants may start from the end of its own earlier process. */
+    @Example
+    void aLeaderThatLeadsAgainAfterARestartKnowsWhenItsEarlierProcessEnded() {
+        int ledAgain = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            RaftSimulation simulation = formedCluster(seed);
+            Member before = simulation.leader();
+            simulation.members.forEach(Member::kill);
+            long stoppedNanos = simulation.nowNanos;
+            simulation.run(100);
+            simulation.members.forEach(member -> member.start(false));
+            simulation.run(1_000);
+            Member after = simulation.leader();
+            if (after != null) {
+                long endNanos = after.node.earlierLeaderEndNanos(simulation.nowNanos);
+                boolean isKnown = endNanos == stoppedNanos;
+                assertTrue(isKnown ? after == before : endNanos == simulation.nowNanos);
+                ledAgain += isKnown ? 1 : 0;
+            }
+        }
+        assertTrue(ledAgain >= 50, ledAgain + " of 100");
+    }
+
     @Property(tries = 400, seed = "20261204")
     void noAcknowledgedEntryIsLostUnderCrashesPartitionsAndPauses(@ForAll long seed) {
         RaftSimulation simulation = formedCluster(seed);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -44,6 +44,8 @@
     int unanswered;
 
     private int storeCount;
+    private RaftNode lastLeaseHolder;
+    private long lastLeaseNanos;
 
     private record Delivery(
             long atNanos, long order, HostPort from, HostPort to, RaftMessage message)
@@ -242,6 +244,19 @@
         if (leaseHolders > 1) {
             throw new AssertionError("two members hold the leader lease at once");
         }
+        Member holder = leader();
+        if (holder != null) {
+            checkEarlierLeaderHadEnded(holder.node);
+            lastLeaseHolder = holder.node;
+            lastLeaseNanos = nowNanos;
+        }
+    }
+
+    private void checkEarlierLeaderHadEnded(RaftNode holder) {
+        boolean isNew = lastLeaseHolder != null && holder != lastLeaseHolder;
+        if (isNew && holder.earlierLeaderEndNanos(nowNanos) < lastLeaseNanos) {
+            throw new AssertionError("another leader held its lease after its assumed end");
+        }
     }
 
     Member leader() {
