--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import java.util.Collection;
+import java.util.OptionalLong;
 import org.chivevale.control.internal.fleet.EndpointRegistry;
 import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
@@ -197,9 +198,10 @@
      * Deregisters an endpoint that has shut down.
      *
      * @param endpoint the endpoint
+     * @param incarnation the incarnation that has shut down; empty if its sender does not say
      * @return completes once the removal is committed
      */
-    public Future<Void> deregister(EndpointId endpoint) {
-        return endpoints.deregister(endpoint);
+    public Future<Void> deregister(EndpointId endpoint, OptionalLong incarnation) {
+        return endpoints.deregister(endpoint, incarnation.orElse(EndpointRegistry.ANY_INCARNATION));
     }
 }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
@@ -25,6 +25,9 @@
  * The log keeps the incarnations and sequences that decide this. Used on the event loop.
  */
 public final class EndpointRegistry {
+    /** Names all incarnations of an endpoint. */
+    public static final long ANY_INCARNATION = Long.MAX_VALUE;
+
     private static final Logger LOG = Logger.getLogger(EndpointRegistry.class);
     private static final String OPERATOR = "announcement";
     private static final long ANNOUNCEMENT_TTL_NANOS = 4_000_000_000L;
@@ -193,25 +196,35 @@
     }
 
     /**
-     * Deregisters an endpoint that has shut down.
+     * Deregisters an endpoint that has shut down. One that has started again since stays
+     * registered.
      *
      * @param endpoint the endpoint
+     * @param incarnation the incarnation that has shut down; {@link #ANY_INCARNATION} if unknown
      * @return completes once the removal is committed
      */
-    public Future<Void> deregister(EndpointId endpoint) {
-        return log.propose(OPERATOR, "", now -> removals(now, endpoint))
+    public Future<Void> deregister(EndpointId endpoint, long incarnation) {
+        return log.propose(OPERATOR, "", now -> removals(now, endpoint, incarnation))
                 .onSuccess(version -> removeFromMembership(endpoint))
                 .mapEmpty();
     }
 
-    private static List<Change> removals(Configuration now, EndpointId endpoint) {
+    private static List<Change> removals(Configuration now, EndpointId endpoint, long incarnation) {
         return now.endpoints().stream()
                 .filter(put -> put.getEndpointId().equals(endpoint.value()))
+                .filter(put -> put.getIncarnation() <= incarnation)
                 .map(EndpointRegistry::removal)
                 .toList();
     }
 
     private void removeFromMembership(EndpointId endpoint) {
+        boolean isRegistered =
+                log.state().configuration().endpoints().stream()
+                        .anyMatch(put -> put.getEndpointId().equals(endpoint.value()));
+        if (isRegistered) {
+            LOG.infof("endpoint %s has started again and stays registered", endpoint);
+            return;
+        }
         lastAnnouncements.remove(endpoint.value());
         for (GroupId group : fleet.membership().instancesByGroup().keySet()) {
             boolean primary = endpoint.equals(log.state().configuration().group(group).primary());
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
@@ -150,7 +150,11 @@
     }
 
     private void deregister(String endpoint) throws Exception {
-        run(() -> registry.deregister(new EndpointId(endpoint)));
+        deregister(endpoint, EndpointRegistry.ANY_INCARNATION);
+    }
+
+    private void deregister(String endpoint, long incarnation) throws Exception {
+        run(() -> registry.deregister(new EndpointId(endpoint), incarnation));
     }
 
     /** Lists the registered endpoints with their incarnations; checks the live ones against it. */
@@ -196,6 +200,24 @@
         assertEquals(List.of("e-1/51"), registered());
     }
 
+    /** The deregistration may arrive late, after the endpoint has started again under its id. */
+    @ParameterizedTest
+    @EnumSource
+    void aLateDeregistrationDoesNotRemoveAnEndpointThatHasStartedAgain(Meanwhile meanwhile)
+            throws Exception {
+        start(meanwhile);
+        announce("e-1", 50, 1);
+        announce("e-1", 60, 1);
+        pass(meanwhile);
+
+        deregister("e-1", 50);
+        announce("e-1", 60, 2);
+        assertEquals(List.of("e-1/60"), registered());
+
+        deregister("e-1", 60);
+        assertEquals(List.of(), registered());
+    }
+
     @ParameterizedTest
     @EnumSource
     void anEndpointThatWasReplacedAtItsAddressStaysReplaced(Meanwhile meanwhile) throws Exception {
@@ -299,7 +321,9 @@
     private void queueRemoval(List<Future<Void>> queued) {
         if (queued.isEmpty()) {
             queued.add(null);
-            queued.set(0, registry.deregister(new EndpointId("e-1")));
+            queued.set(
+                    0,
+                    registry.deregister(new EndpointId("e-1"), EndpointRegistry.ANY_INCARNATION));
             queued.add(registry.announce(announcement("e-1", 50, false), 3));
         }
     }
