--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -91,7 +92,7 @@
         }
     }
 
-    private record Waiter(Promise<Void> promise, long waitEndNanos) {}
+    private record Waiter(Promise<Void> promise, long waitEndNanos, long deadlineNanos) {}
 
     /**
      * Creates the rate limiter.
@@ -152,17 +153,18 @@
     public Future<Void> admit(ClientAccountId account, long deadlineNanos) {
         long waitEndNanos =
                 EventLoop.nowNanos() + settings.timing().maxRateWaitMillis() * NANOS_PER_MILLI;
-        return admitUntil(account, Math.min(waitEndNanos, deadlineNanos));
+        return admit(account, waitEndNanos, deadlineNanos);
     }
 
     /**
      * Spends a token of the account and waits for one if necessary.
      *
      * @param account the client account
-     * @param waitEndNanos until when the request may wait, on the monotonic clock
+     * @param waitEndNanos until when the request may wait while the account is above its rate
+     * @param deadlineNanos until when it may wait for an answer of the rate's owner
      * @return completes when the request may run; fails with RATE_EXCEEDED or RATE_OWNER_MISSING
      */
-    public Future<Void> admitUntil(ClientAccountId account, long waitEndNanos) {
+    public Future<Void> admit(ClientAccountId account, long waitEndNanos, long deadlineNanos) {
         long now = EventLoop.nowNanos();
         AccountLimiter limiter = limiters.computeIfAbsent(account, key -> new AccountLimiter(now));
         if (limiter.waiters.isEmpty() && limiter.share.tryTake(now)) {
@@ -180,7 +182,8 @@
             return Future.failedFuture(rateExceeded(account, limiter, now));
         }
         Promise<Void> promise = Promise.promise();
-        limiter.waiters.addLast(new Waiter(promise, waitEndNanos));
+        limiter.waiters.addLast(
+                new Waiter(promise, Math.min(waitEndNanos, deadlineNanos), deadlineNanos));
         requestTokens();
         scheduleTick();
         return promise.future();
@@ -263,18 +266,19 @@
     }
 
     private void expireWaiters(ClientAccountId account, AccountLimiter limiter, long nowNanos) {
-        limiter.waiters.removeIf(
-                waiter -> {
-                    boolean isExpired = nowNanos - waiter.waitEndNanos() >= 0;
-                    if (isExpired) {
-                        ChivevaleException failure =
-                                limiter.isExhausted && ownerSilenceNanos(nowNanos) == 0
-                                        ? rateExceeded(account, limiter, nowNanos)
-                                        : ownerMissing(account);
-                        outcomes.addLast(() -> waiter.promise().fail(failure));
-                    }
-                    return isExpired;
-                });
+        Iterator<Waiter> waiters = limiter.waiters.iterator();
+        while (waiters.hasNext()) {
+            Waiter waiter = waiters.next();
+            boolean isExceeded = limiter.isExhausted && nowNanos - waiter.waitEndNanos() >= 0;
+            if (isExceeded || nowNanos - waiter.deadlineNanos() >= 0) {
+                waiters.remove();
+                ChivevaleException failure =
+                        isExceeded
+                                ? rateExceeded(account, limiter, nowNanos)
+                                : ownerMissing(account);
+                outcomes.addLast(() -> waiter.promise().fail(failure));
+            }
+        }
     }
 
     private void requestTokens() {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -205,18 +205,19 @@
     /**
      * Spends a token of the account's rate; {@code callback} receives null, or why it was rejected.
      *
-     * <p>Waits for half of the latency objective: a caller that is rejected by then can still be
-     * served in time by another proxy.
+     * <p>While the account is above its rate, waits for half of the latency objective: a caller
+     * that is rejected by then can still be served in time by another proxy.
      */
     void spendToken(ClientAccountId account, Route route, Consumer<String> callback) {
         if (configuration().account(account) == null) {
             callback.accept(null);
             return;
         }
-        long waitMillis =
-                Math.min(route.latencyObjectiveMillis(), route.statementTimeoutMillis()) / 2;
+        long now = EventLoop.nowNanos();
+        long waitEndNanos = now + route.latencyObjectiveMillis() * NANOS_PER_MILLI / 2;
+        long deadlineNanos = now + route.statementTimeoutMillis() * NANOS_PER_MILLI / 2;
         rateLimiter
-                .admitUntil(account, EventLoop.nowNanos() + waitMillis * NANOS_PER_MILLI)
+                .admit(account, waitEndNanos, deadlineNanos)
                 .onComplete(
                         result ->
                                 callback.accept(
