--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/SessionService.java
@@ -47,10 +47,7 @@
     private static final Logger LOG = Logger.getLogger(SessionService.class);
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 25;
-
-    /** A lease that is lost for less is usually granted again before callers are moved. */
-    private static final long LEASE_GRACE_NANOS = 300 * NANOS_PER_MILLI;
-
+    private static final long LEASE_GRACE_NANOS = 2_000 * NANOS_PER_MILLI;
     private static final Duration[] LATENCY_BUCKETS = {
         Duration.ofMillis(10),
         Duration.ofMillis(50),
