--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/rate/RateLimiter.java
@@ -86,6 +86,9 @@
         long retryAtNanos;
         boolean isExhausted;
 
+        /** Requests were not queued since the owner was silent; it is to be asked again. */
+        boolean hasRejected;
+
         AccountLimiter(long nowNanos) {
             share = new RateShare(COVER_NANOS, nowNanos);
             retryAtNanos = nowNanos;
@@ -174,6 +177,8 @@
             return Future.succeededFuture();
         }
         if (ownerSilenceNanos(now) > OWNER_CHANGE_NANOS) {
+            limiter.hasRejected = true;
+            requestTokens();
             return takeFromFallback(account, limiter, now)
                     ? Future.succeededFuture()
                     : Future.failedFuture(ownerMissing(account));
@@ -306,7 +311,8 @@
 
     private static boolean needsTokens(AccountLimiter limiter, long nowNanos) {
         boolean due = nowNanos - limiter.retryAtNanos >= 0;
-        return due && (!limiter.waiters.isEmpty() || limiter.share.isLow(nowNanos));
+        boolean isDemanded = !limiter.waiters.isEmpty() || limiter.hasRejected;
+        return due && (isDemanded || limiter.share.isLow(nowNanos));
     }
 
     private static void addWant(
@@ -321,6 +327,7 @@
         }
         RateWant.Builder want = RateWant.newBuilder().setAccountId(account.value());
         if (wants) {
+            limiter.hasRejected = false;
             int ahead = limiter.share.tokensAhead(nowNanos);
             want.setWanted(limiter.waiters.size() + ahead).setAhead(ahead);
         }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/rate/RateLimiterTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/rate/RateLimiterTest.java
@@ -22,6 +22,7 @@
 /** Guards against requests that are lost since an admitted or rejected one sends another. */
 class RateLimiterTest {
     private static final long SECOND_NANOS = 1_000_000_000;
+    private static final int POLL_MILLIS = 20;
     private static final int VALID_MILLIS = 60_000;
     private static final ClientAccountId ACCOUNT = new ClientAccountId("account");
 
@@ -54,6 +55,16 @@
             callback = onAnswer;
         }
 
+        boolean isAsked() {
+            return callback != null;
+        }
+
+        void timeOut() {
+            Consumer<RateAnswer> unanswered = callback;
+            callback = null;
+            unanswered.accept(RateAnswer.getDefaultInstance());
+        }
+
         void answer(int tokens) {
             RateGrant.Builder grant =
                     RateGrant.newBuilder().setAccountId(ACCOUNT.value()).setTokens(tokens);
@@ -103,6 +114,26 @@
         assertEquals(expected, admitted);
     }
 
+    /** Guards against an account that stays rejected after its owner was silent for long. */
+    @Test
+    void requestsThatAreRejectedWhileTheOwnerIsSilentAskItAgain() throws InterruptedException {
+        while (!limiter.admit(ACCOUNT, EventLoop.nowNanos()).failed()) {
+            runTicks();
+            Thread.sleep(POLL_MILLIS);
+        }
+        owner.timeOut();
+        assertTrue(limiter.admit(ACCOUNT, deadline()).failed());
+        assertTrue(owner.isAsked());
+        owner.answer(1);
+        assertTrue(limiter.admit(ACCOUNT, deadline()).succeeded());
+    }
+
+    private void runTicks() {
+        for (int i = ticks.size(); i > 0; i--) {
+            ticks.removeFirst().run();
+        }
+    }
+
     @Test
     void aRejectedRequestThatSendsOneOfAnotherAccountDoesNotStopTheOthers() {
         List<String> rejected = new ArrayList<>();
