--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -30,8 +30,9 @@
 /**
  * Renews the proxy's lease at the leader of control and requests rate tokens there.
  *
- * <p>Invariants: one renewal is in flight at a time; after a control process has not responded, or
- * is not the leader, the next address is tried. Used on the event loop.
+ * <p>Invariants: one renewal is in flight at a time; a request for tokens ends with its connection;
+ * after a control process has not responded, or is not the leader, the next address is tried. Used
+ * on the event loop.
  */
 public final class ControlLink implements Service, RateRequests {
     /** Name in the kernel. */
@@ -66,7 +67,6 @@
     private Counter lostRenewals;
     private FrameConnection connection;
     private HostPort target;
-    private FrameConnection rateConnection;
     private boolean isConnecting;
     private final ControlAddresses addresses;
     private long sequence;
@@ -182,11 +182,7 @@
                 rateCallback != null
                         && now - rateSentAtNanos > RATE_TIMEOUT_MILLIS * NANOS_PER_MILLI;
         if (rateTimedOut) {
-            boolean isSameConnection = rateConnection == connection;
-            completeRateRequest(RateAnswer.getDefaultInstance());
-            if (isSameConnection && connection != null && !isStopping) {
-                onSilence(now);
-            }
+            onSilence(now);
         }
         if (isRenewing || now - nextRenewNanos < 0) {
             return;
@@ -219,6 +215,9 @@
             connection = null;
         }
         isRenewing = false;
+        if (rateCallback != null) {
+            completeRateRequest(RateAnswer.getDefaultInstance());
+        }
         renewalParticipants.forEach(RenewalParticipant::onRenewalLost);
         addresses.advance();
         nextRenewNanos = EventLoop.nowNanos() + RETRY_MILLIS * NANOS_PER_MILLI;
@@ -414,7 +413,6 @@
         rateCorrelation++;
         rateSentAtNanos = EventLoop.nowNanos();
         rateCallback = onAnswer;
-        rateConnection = connection;
         rateParticipants.forEach(participant -> participant.addTo(request, rateSentAtNanos));
         request.setProxyId(settings.id()).setIncarnation(incarnation);
         connection.send(
