Start the platform programs on arm64 as well

The deploy file and the class list named the x86-64 folder of JNA's native library alone, so the programs ended at start on arm64.

--- a/build/class-list.sh
+++ b/build/class-list.sh
@@ -42,7 +42,7 @@
     settings=$work/$(echo "$role" | tr '[:upper:]' '[:lower:]').toml
     CHIVEVALE_SETTINGS=$settings java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:DumpLoadedClassList="$work/$role.lst" \
         -Dorg.jboss.logging.provider=slf4j -Dslf4j.provider=ch.qos.logback.classic.spi.LogbackServiceProvider \
-        -Dvertx.disableDnsResolver=true -Dio.netty.jfr.enabled=false -Djna.nounpack=true -Djna.boot.library.path=target/native/com/sun/jna/linux-x86-64 \
+        -Dvertx.disableDnsResolver=true -Dio.netty.jfr.enabled=false -Djna.nounpack=true -Djna.boot.library.path=target/native/com/sun/jna/linux-x86-64:target/native/com/sun/jna/linux-aarch64 \
         -cp target/chivevale-platform.jar "org.chivevale.platform.Platform${role}Main" > "$work/$role.log" &
     program=$!
     until grep -q '"started ' "$work/$role.log" 2> /dev/null; do
