--- a/review/standin/ServiceNameCase.java
+++ b/review/standin/ServiceNameCase.java
@@ -10,6 +10,12 @@
     private static final long DRAIN_PERIOD_NANOS = 7_000_000_000L;
     private static final long DRAIN_MILLIS = 12_000;
 
+    /** Lower-case letters, digits and hyphens, as in the names on the pages; 55 letters long. */
+    private static final String LONG_NAME =
+            "atolye-db-siparis-ve-gravur-kayitlari-marmara-bolgesi-1";
+
+    private static final String SHORT_NAME = "atolye-db-siparis-1";
+
     private volatile boolean isOver;
 
     public static void main(String[] args) {
@@ -18,7 +24,7 @@
 
     @Override
     int play() throws Exception {
-        String added = hasTrouble ? "Kafi81c" : "kafi81c";
+        String added = hasTrouble ? LONG_NAME : SHORT_NAME;
         Group group = new Group("huvo11a", 0, record);
         platform.groups.add(group);
         deployment.start(3, 2);
