--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -30,6 +30,7 @@
     private static final int QUEUE = 24;
     private static final int BEAT_MILLIS = 1200;
     private static final int POLL_MILLIS = 50;
+    private static final String REPORT_ROW = "x".repeat(100_000);
 
     /** One statement that ran, with the session values of its connection. */
     record Run(
@@ -54,6 +55,9 @@
     /** How long a read of an item with this prefix works. */
     volatile Map<String, Long> workMillis = Map.of();
 
+    /** How many rows a read of a report returns. */
+    volatile int reportRows = 1;
+
     private final Deployment deployment;
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private final AtomicInteger queued = new AtomicInteger();
@@ -439,7 +443,13 @@
                     Thread.sleep(work.getValue());
                 }
             }
-            line("ROW " + value(item));
+            if (item.startsWith("report")) {
+                for (int i = 0; i < reportRows; i++) {
+                    line("ROW " + REPORT_ROW);
+                }
+            } else {
+                line("ROW " + value(item));
+            }
             line("COMPLETE mac." + queryId);
         }
 
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -36,12 +37,14 @@
     }
 
     Client(Socket socket, int timeoutMillis) throws IOException {
+        this(socket, timeoutMillis, socket.getInputStream());
+    }
+
+    /** Creates a client that reads from its socket through a stream, such as a slower one. */
+    Client(Socket socket, int timeoutMillis, InputStream stream) throws IOException {
         this.socket = socket;
         socket.setSoTimeout(timeoutMillis);
-        in =
-                new BufferedReader(
-                        new InputStreamReader(
-                                socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        in = new BufferedReader(new InputStreamReader(stream, StandardCharsets.ISO_8859_1));
         out = socket.getOutputStream();
     }
 
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -264,7 +264,17 @@
     }
 
     Socket connect(int proxy) throws IOException {
+        return connect(proxy, new Socket());
+    }
+
+    /** Connects with a small receive window. */
+    Socket connectWithWindow(int proxy, int windowBytes) throws IOException {
         Socket socket = new Socket();
+        socket.setReceiveBufferSize(windowBytes);
+        return connect(proxy, socket);
+    }
+
+    private Socket connect(int proxy, Socket socket) throws IOException {
         socket.setTcpNoDelay(true);
         socket.connect(clientAddresses.get(proxy), 2000);
         return socket;
--- a/review/standin/Platform.java
+++ b/review/standin/Platform.java
@@ -21,9 +21,8 @@
     private final HttpServer server;
     private final Record record;
     private final long promoteMillis;
-    private boolean isSlow;
-    private long nextTurn;
-    private long turnsTaken;
+    private volatile long slowMillis;
+    private volatile boolean isHeld;
 
     Platform(Record record, long promoteMillis) throws IOException {
         this.record = record;
@@ -57,7 +56,7 @@
                 service,
                 exchange.getRequestHeaders().getFirst("X-Chivevale-Duty-Holder"),
                 exchange.getRequestHeaders().getFirst("X-Chivevale-Fencing-Token"));
-        awaitTurn();
+        awaitHandling();
         int status = 404;
         for (Group group : groups) {
             if (group.service.equals(service)) {
@@ -68,26 +67,29 @@
         exchange.close();
     }
 
-    /** While the infrastructure is slow, calls wait; then they are handled in their order. */
-    private synchronized void awaitTurn() throws IOException {
-        long turn = nextTurn++;
+    /** Lets a call wait: while the infrastructure is slow, it handles each call later. */
+    private void awaitHandling() throws IOException {
+        long delayMillis = slowMillis;
+        long heldUntilNanos = System.nanoTime() + delayMillis * 1_000_000;
         try {
-            while (isSlow || turn != turnsTaken) {
-                wait();
+            while (isHeld || System.nanoTime() - heldUntilNanos < 0) {
+                Thread.sleep(5);
             }
         } catch (InterruptedException e) {
             throw new IOException(e);
-        } finally {
-            turnsTaken++;
-            notifyAll();
         }
     }
 
-    /** Makes the infrastructure slow: it takes calls and handles them later. */
-    synchronized void setSlow(boolean slow) {
-        isSlow = slow;
-        record.log("the infrastructure is %s", slow ? "slow" : "as usual");
-        notifyAll();
+    /** Sets how much later than usual the infrastructure handles a call; 0 for as usual. */
+    void setSlow(long millis) {
+        slowMillis = millis;
+        record.log("the infrastructure handles each call %d ms later", millis);
+    }
+
+    /** Sets whether the infrastructure takes calls and handles none of them for now. */
+    void hold(boolean hold) {
+        isHeld = hold;
+        record.log("the infrastructure %s", hold ? "handles no calls" : "handles calls again");
     }
 
     /** The named backend leads some hundred milliseconds after the call. */
--- a/review/standin/TwoPrimariesCase.java
+++ b/review/standin/TwoPrimariesCase.java
@@ -8,16 +8,21 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Replicas receive nothing for a while and the primary crashes meanwhile; the infrastructure is slow
- * and carries out the promotion seconds after the call.
+ * The primary crashes and is back soon, while the infrastructure is slow and carries out promotions
+ * seconds after the calls.
  */
 final class TwoPrimariesCase extends Scenario {
     private static final int WRITERS = 6;
+    private static final long SLOW_MILLIS = 4000;
+    private static final long DOWN_MILLIS = 2500;
 
     /** When each write was acknowledged to its client. */
     private final Map<String, Long> acknowledged = new ConcurrentHashMap<>();
 
     private final AtomicInteger recentlyServed = new AtomicInteger();
+    /** True for the variant in which the replicas receive nothing meanwhile. */
+    private final boolean replicasLag = "1".equals(System.getenv("LAG"));
+
     private volatile boolean isOver;
 
     public static void main(String[] args) {
@@ -73,17 +78,33 @@
         return judge(group);
     }
 
+    /** The primary crashes for a short time while the infrastructure handles calls late. */
     private void disturb(List<Backend> backends) throws Exception {
+        if (replicasLag) {
+            disturbWithLag(backends);
+            return;
+        }
+        platform.setSlow(SLOW_MILLIS);
+        Thread.sleep(200);
+        backends.get(0).crash();
+        Thread.sleep(DOWN_MILLIS);
+        backends.get(0).restart();
+        Thread.sleep(12_000);
+        platform.setSlow(0);
+    }
+
+    /** The same with replicas that receive nothing, so that the old primary is reinstated. */
+    private void disturbWithLag(List<Backend> backends) throws Exception {
         record.log("i-b1 and i-c1 receive nothing");
         backends.get(1).isDeaf = true;
         backends.get(2).isDeaf = true;
-        platform.setSlow(true);
+        platform.hold(true);
         Thread.sleep(200);
         backends.get(0).crash();
         Thread.sleep(2000);
         backends.get(0).restart();
         Thread.sleep(4000);
-        platform.setSlow(false);
+        platform.hold(false);
         Thread.sleep(800);
         backends.get(1).isDeaf = false;
         backends.get(2).isDeaf = false;
