--- a/review/standin/ServiceNameCase.java
+++ b/review/standin/ServiceNameCase.java
@@ -52,6 +52,7 @@
             return HELD;
         }
         Thread.sleep(4000);
+        record.say("a write on the route to %s: %s", added, writeOnNewRoute());
         for (int i = 0; i < 4; i++) {
             int number = i;
             Thread client = new Thread(() -> write(number), "client-" + i);
@@ -82,6 +83,19 @@
         return backends;
     }
 
+    private String writeOnNewRoute() {
+        try (Client client = new Client(deployment.connect(0), 3000)) {
+            String greeting = client.open("fiti832", "u6wsjnban");
+            if (!greeting.startsWith("READY")) {
+                return greeting;
+            }
+            String error = client.query("WRITE item1 first").error();
+            return error == null ? "done" : error;
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
     private int judge(Backend leaving, Group group, long leftNanos) {
         long late =
                 leaving.runs.stream()
