Replace a primary in whose place something else answers

Cause: a proxy took every reply as a sign of life of the primary, also the rejection by another endpoint at its address, so nobody suspected it. Control itself never asked whether a primary was still there.

Control replaces a primary whose registration has ended and calls one that no longer announces itself as a primary and serves no proxy. Endpoints whose address another database uses are removed at once.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -51,6 +51,7 @@
     private final MemberClient memberClient;
     private final FailoverPolicy policy;
     private final FailoverTimings timings;
+    private final PrimaryWatch watch;
     private final Map<EndpointId, MemberPosition> positions = new HashMap<>();
     private final SwitchoverBackoff backoff = new SwitchoverBackoff();
     private FailoverPhase lastPhase;
@@ -83,6 +84,7 @@
         this.memberClient = memberClient;
         this.policy = policy;
         this.timings = timings;
+        this.watch = new PrimaryWatch(group, fleet, memberClient);
         lastReinstatedNanos = fleet.nowNanos() - REINSTATE_GRACE_MILLIS * NANOS_PER_MILLI;
     }
 
@@ -98,7 +100,9 @@
         Configuration configuration = log.configuration();
         FailoverStep step = configuration.failovers().get(group.toString());
         FailoverPhase phase = step == null ? null : FailoverPhase.valueOf(step.getPhase());
-        boolean isEligibilityNeeded = phase != null || !configuration.evacuations().isEmpty();
+        String lossReason = watch.findLoss(configuration, configuration.group(group));
+        boolean isEligibilityNeeded =
+                phase != null || lossReason != null || !configuration.evacuations().isEmpty();
         PrimaryEligibility eligibility =
                 isEligibilityNeeded ? eligibility(configuration) : PrimaryEligibility.UNRESTRICTED;
         if (phase != lastPhase) {
@@ -110,7 +114,8 @@
             onPhaseChange(phase, configuration.version());
         }
         updateBackoff(configuration, step, eligibility);
-        FailoverAction action = policy.next(buildView(configuration, phase, step, eligibility));
+        FailoverAction action =
+                policy.next(buildView(configuration, phase, step, lossReason, eligibility));
         setBlockedReason(action instanceof FailoverAction.Blocked blocked ? blocked.reason() : "");
         execute(action, configuration, step);
     }
@@ -191,6 +196,7 @@
             Configuration configuration,
             FailoverPhase phase,
             FailoverStep step,
+            String lossReason,
             PrimaryEligibility eligibility) {
         long now = fleet.nowNanos();
         Group state = configuration.group(group);
@@ -211,6 +217,7 @@
                 step != null && step.getPlanned(),
                 step == null ? null : parseEndpoint(step.getPreferredEndpointId()),
                 watching && fleet.failureDetector(group).isSuspected(primary, state.term(), now),
+                watching ? lossReason : null,
                 shuttingDown && (watching || phase != null),
                 phase != null && fleet.leases().isInForce(fenceVersion, now),
                 database == null ? 1 : database.requiredPromotionResponses(),
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/EndpointRegistry.java
@@ -169,14 +169,7 @@
         if (registered == null) {
             return;
         }
-        for (InstanceAnnouncement other : fleet.membership().instances(announced.group())) {
-            boolean replaced =
-                    now.endpoint(other.group(), other.endpoint()) == null
-                            && !other.endpoint().equals(now.group(other.group()).primary());
-            if (replaced) {
-                fleet.membership().remove(other.endpoint(), other.group());
-            }
-        }
+        removeReplaced(now, announced);
         markAlive(announced.withCold(registered.getCold()));
         LOG.infof(
                 "endpoint %s of %s at %s: primary %b, leaving %b, cold %b, incarnation %d,"
@@ -191,6 +184,21 @@
                 version);
     }
 
+    /** Removes the endpoints whose address another one uses; a primary stays until a failover. */
+    private void removeReplaced(Configuration now, InstanceAnnouncement announced) {
+        for (List<InstanceAnnouncement> group : fleet.membership().instancesByGroup().values()) {
+            for (InstanceAnnouncement other : group) {
+                boolean replaced =
+                        other.address().equals(announced.address())
+                                && now.endpoint(other.group(), other.endpoint()) == null
+                                && !other.endpoint().equals(now.group(other.group()).primary());
+                if (replaced) {
+                    fleet.membership().remove(other.endpoint(), other.group());
+                }
+            }
+        }
+    }
+
     private void markAlive(InstanceAnnouncement announced) {
         fleet.membership().announce(announced, EventLoop.nowNanos() + ANNOUNCEMENT_TTL_NANOS);
     }
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
@@ -45,6 +45,7 @@
                 planned,
                 null,
                 false,
+                null,
                 false,
                 fenceInForce,
                 NEEDED,
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverViews.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverViews.java
@@ -111,6 +111,7 @@
                 random.nextBoolean(),
                 random.nextInt(6) == 0 ? MEMBERS.get(random.nextInt(3)) : null,
                 random.nextInt(8) == 0,
+                null,
                 random.nextInt(8) == 0,
                 random.nextInt(8) > 0,
                 2,
@@ -125,7 +126,17 @@
                 random.nextInt(4) == 0);
     }
 
+    /** Returns the view with a primary that control itself takes as lost. */
+    static FailoverView lost(FailoverView view) {
+        return copy(view, "it does not answer", view.eligibility());
+    }
+
     static FailoverView withEligibility(FailoverView view, PrimaryEligibility eligibility) {
+        return copy(view, view.lossReason(), eligibility);
+    }
+
+    private static FailoverView copy(
+            FailoverView view, String lossReason, PrimaryEligibility eligibility) {
         return new FailoverView(
                 view.phase(),
                 view.term(),
@@ -135,6 +146,7 @@
                 view.planned(),
                 view.preferred(),
                 view.suspected(),
+                lossReason,
                 view.shuttingDown(),
                 view.fenceInForce(),
                 view.requiredResponses(),
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/PlacementProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/PlacementProperties.java
@@ -125,6 +125,27 @@
         }
     }
 
+    /**
+     * Fencing a lost primary that nobody can replace would only end the reads that it may serve.
+     */
+    @Property(tries = TRIES, seed = "20261205")
+    void aLostPrimaryIsFencedOnlyIfALiveReplicaMayReplaceIt(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        PrimaryEligibility eligibility = FailoverViews.eligibility(random);
+        FailoverView view = FailoverViews.lost(FailoverViews.view(random, eligibility));
+        if (view.phase() != null || view.suspected() || view.shuttingDown()) {
+            return;
+        }
+        FailoverAction action = policy.next(view);
+        if (eligibility.hasReplacementFor(A)) {
+            assertTrue(
+                    action instanceof FailoverAction.Fence fence && !fence.planned(),
+                    view.toString());
+        } else {
+            assertInstanceOf(FailoverAction.Blocked.class, action);
+        }
+    }
+
     /** A configuration whose evacuations and regions concern no member decides as one without. */
     @Property(tries = TRIES, seed = "20261204")
     void withoutEvacuationsAndRegionsEveryDecisionIsAsBefore(@ForAll long seed) {
@@ -222,6 +243,7 @@
                 planned,
                 null,
                 false,
+                null,
                 shuttingDown,
                 true,
                 2,
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
@@ -79,9 +79,19 @@
         if (view.suspected()) {
             return new FailoverAction.Fence("suspected by a majority of its probers", false);
         }
+        boolean isLost = view.lossReason() != null;
+        if (isLost && view.eligibility().hasReplacementFor(view.primary())) {
+            return new FailoverAction.Fence("lost: " + view.lossReason(), false);
+        }
         if (view.shuttingDown()) {
             return new FailoverAction.Fence("the primary is leaving", true);
         }
+        if (isLost) {
+            return new FailoverAction.Blocked(
+                    "the primary is lost: "
+                            + view.lossReason()
+                            + ", and no live replica can replace it");
+        }
         return view.eligibility().isEvacuated(view.primary())
                 ? startEvacuation(view)
                 : new FailoverAction.NoAction();
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
@@ -17,6 +17,7 @@
  *     the evacuation of its data centre
  * @param preferred the member that a switchover should promote, or null for any
  * @param suspected true when the primary is suspected to have failed
+ * @param lossReason why control itself takes the primary as lost, or null
  * @param shuttingDown true when the primary, or the one being replaced, has announced its shutdown
  * @param fenceInForce true when no proxy can act on the old primary any more
  * @param requiredResponses how many members must report their positions before one is chosen
@@ -37,6 +38,7 @@
         boolean planned,
         EndpointId preferred,
         boolean suspected,
+        String lossReason,
         boolean shuttingDown,
         boolean fenceInForce,
         int requiredResponses,
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailureDetector.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailureDetector.java
@@ -78,6 +78,21 @@
         return reporting > 0 && majority && acrossDataCenters;
     }
 
+    /**
+     * Tells whether a proxy has recently been served by the primary.
+     *
+     * @param endpoint the primary
+     * @param term its term
+     * @param nowNanos the monotonic time
+     * @return true when a report that has not expired says that the primary responds
+     */
+    public boolean isHealthy(EndpointId endpoint, long term, long nowNanos) {
+        return currentReports(endpoint, term).stream()
+                .anyMatch(
+                        report ->
+                                !report.suspect() && nowNanos - report.atNanos() <= reportTtlNanos);
+    }
+
     private Collection<Report> currentReports(EndpointId endpoint, long term) {
         return reports.values().stream()
                 .filter(report -> report.endpoint().equals(endpoint) && report.term() == term)
--- a/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseFailure.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseFailure.java
@@ -19,6 +19,8 @@
         TERM_REPLACED,
         /** The request id was already used with another body; this request has no effect. */
         REQUEST_ID_REUSED,
+        /** The endpoint had no capacity for the request; no effect. */
+        NO_FREE_SLOT,
         /** The client account's role does not exist yet; no effect. */
         ROLE_MISSING,
         /** The connection was lost before the commit was sent; no effect. */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/EndpointPool.java
@@ -322,14 +322,10 @@
     /** Records the reply to a statement or the failure of a connection attempt. */
     void recordReply(EndpointReply reply, long sentAtNanos) {
         long now = EventLoop.nowNanos();
-        if (reply.reply() == Reply.UNREACHABLE) {
-            health.recordUnreachable(now);
-            connectAfterNanos = now + RECONNECT_DELAY_NANOS;
-        } else if (reply.reply() == Reply.LOST) {
-            health.recordLost(now);
-        } else {
-            health.recordReply(reply, sentAtNanos, now);
-            updateSlots(reply.reply(), now);
+        health.recordReply(reply, sentAtNanos, now);
+        switch (reply.reply()) {
+            case UNREACHABLE, OTHER_ENDPOINT -> connectAfterNanos = now + RECONNECT_DELAY_NANOS;
+            default -> updateSlots(reply.reply(), now);
         }
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -70,6 +70,7 @@
     private final Map<MemberTarget, EndpointPool> pools = new HashMap<>();
     private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
     private final Set<EndpointId> suspected = new HashSet<>();
+    private final Map<GroupId, Long> terms = new HashMap<>();
     private final KnownHosts hosts = new KnownHosts();
     private final ProxySettings settings;
     private EventLoop loop;
@@ -329,6 +330,18 @@
         for (MemberTarget target : known) {
             updateBlocked(findOrCreatePool(target));
         }
+        directory.configuration().groups().forEach(this::updateTerm);
+    }
+
+    /** Starts the health of a new primary without the failures that it had as a replica. */
+    private void updateTerm(Group group) {
+        if (group.primary() == null) {
+            return;
+        }
+        Long before = terms.put(group.id(), group.term());
+        if (before == null || before != group.term()) {
+            primaryPool(group).health().onNewTerm();
+        }
     }
 
     /** Stops work at an endpoint in an evacuated data centre, and allows it again later. */
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
@@ -18,12 +18,14 @@
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.lease.LeaseGrantor;
 import org.chivevale.core.settings.HostPort;
+import org.chivevale.database.DatabaseFailure;
 import org.chivevale.database.MemberConnection;
 import org.chivevale.database.MemberStatus;
 import org.chivevale.database.MemberTarget;
 import org.chivevale.database.PromotionOrder;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.EndpointRemoved;
 import org.chivevale.wire.proto.EvacuationPut;
 import org.chivevale.wire.proto.EvacuationRemoved;
 import org.chivevale.wire.proto.FailoverStep;
@@ -59,6 +61,12 @@
         boolean primary;
         boolean leaving;
         boolean refusesPromotion;
+        boolean busy;
+        boolean announces = true;
+
+        /** Neither announces itself nor answers control, but proxies reach it. */
+        boolean cutFromControl;
+
         long timeline = 1;
         long position = 10;
         int promotions;
@@ -131,6 +139,18 @@
                         .build());
     }
 
+    /** Ends the registration of a member, as when it deregisters or another has its address. */
+    void endRegistration(int number) {
+        commit(
+                Change.newBuilder()
+                        .setEndpointRemoved(
+                                EndpointRemoved.newBuilder()
+                                        .setGroupId(ID.toString())
+                                        .setEndpointId("e-" + number)
+                                        .setIncarnation(1))
+                        .build());
+    }
+
     void allowRegions(List<String> regions) {
         commit(
                 Change.newBuilder()
@@ -158,6 +178,11 @@
                         new FailoverTimings(new SimpleMeterRegistry()));
     }
 
+    /** Lets the proxy report that the primary responds. */
+    void reportHealthyPrimary() {
+        detector.report(PROXY, "dc-1", configuration.group(ID).primary(), term(), false, nowNanos);
+    }
+
     void suspectPrimary() {
         detector.report(PROXY, "dc-1", configuration.group(ID).primary(), term(), true, nowNanos);
     }
@@ -204,29 +229,38 @@
     }
 
     private void announce(String name, Member member) {
-        if (member.alive) {
-            String number = name.substring(2);
-            membership.announce(
-                    new InstanceAnnouncement(
-                            new EndpointId(name),
-                            ID,
-                            address(),
-                            "r-" + number,
-                            "dc-" + number,
-                            1,
-                            member.primary,
-                            0,
-                            "",
-                            20,
-                            member.leaving,
-                            true),
-                    nowNanos + ANNOUNCEMENT_TTL_NANOS);
+        if (member.alive && member.announces && !member.cutFromControl) {
+            load(name, member);
         }
     }
 
+    /** Lets a new leader take a member from its log, before any announcement. */
+    void load(int number) {
+        load("e-" + number, member(number));
+    }
+
+    private void load(String name, Member member) {
+        String number = name.substring(2);
+        membership.announce(
+                new InstanceAnnouncement(
+                        new EndpointId(name),
+                        ID,
+                        address(),
+                        "r-" + number,
+                        "dc-" + number,
+                        1,
+                        member.primary,
+                        0,
+                        "",
+                        20,
+                        member.leaving,
+                        true),
+                nowNanos + ANNOUNCEMENT_TTL_NANOS);
+    }
+
     private Future<Connection> connect(MemberTarget target) {
         Member member = members.get(target.endpoint().value());
-        return member.alive
+        return member.alive && !member.cutFromControl
                 ? Future.succeededFuture(new Connection(member, term()))
                 : Future.failedFuture("not reachable");
     }
@@ -276,6 +310,10 @@
     private record Connection(Member member, long term) implements MemberConnection {
         @Override
         public Future<MemberStatus> memberStatus() {
+            if (member.busy) {
+                return Future.failedFuture(
+                        new DatabaseFailure(DatabaseFailure.Kind.NO_FREE_SLOT, "", "no slot"));
+            }
             return Future.succeededFuture(
                     new MemberStatus(member.primary, member.timeline, member.position));
         }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
@@ -165,6 +165,90 @@
         assertEquals(1, group.fences);
     }
 
+    /** Guards against a group without traffic whose lost primary nobody notices. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aPrimaryThatIsSilentAndDoesNotAnswerIsReplaced(boolean leaderChanges) {
+        group.member(1).alive = false;
+        if (leaderChanges) {
+            group.run(1000);
+            group.electLeader();
+            group.load(1);
+        }
+        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        assertEquals(1, group.fences);
+        assertEquals(0, group.plannedFences);
+    }
+
+    @Test
+    void aSilentPrimaryThatServesProxiesIsNotReplaced() {
+        group.member(1).cutFromControl = true;
+        for (int second = 0; second < 20; second++) {
+            group.reportHealthyPrimary();
+            group.run(1000);
+        }
+        assertEquals(0, group.fences);
+    }
+
+    /** The old primary keeps running, and nobody may lead twice or be replaced twice. */
+    @Test
+    void aPrimaryThatWasOnlySilentIsReplacedOnce() {
+        group.member(1).cutFromControl = true;
+        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        group.member(1).cutFromControl = false;
+        group.run(20_000);
+        assertEquals(1, group.fences);
+        assertEquals(2, group.term());
+    }
+
+    @Test
+    void aPrimaryThatIsOnlyBusyIsNotReplaced() {
+        group.member(1).announces = false;
+        group.member(1).busy = true;
+        group.run(20_000);
+        assertEquals(0, group.fences);
+    }
+
+    /** An order of which control does not know may have made another member the primary. */
+    @Test
+    void aPrimaryThatRunsAsAReplicaIsReplacedByTheOneThatLeads() {
+        group.member(1).primary = false;
+        group.member(3).primary = true;
+        group.member(3).timeline = 2;
+        runUntilPrimary("e-3");
+        assertEquals(2, group.term());
+        assertEquals(1, group.fences);
+    }
+
+    @Test
+    void aPrimaryWhoseRegistrationHasEndedIsReplaced() {
+        group.member(1).alive = false;
+        group.endRegistration(1);
+        group.runUntil(() -> group.fences == 1);
+        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        assertEquals(0, group.plannedFences);
+    }
+
+    /** Guards against writes that are lost since the primary still serves. */
+    @Test
+    void aPrimaryWhoseRegistrationEndsWhileItServesHandsOverAllItsWrites() {
+        group.member(2).position = 8;
+        group.endRegistration(1);
+        runUntilPrimary("e-3");
+        assertEquals(0, group.member(2).promotions);
+    }
+
+    @Test
+    void aLostPrimaryThatNobodyCanReplaceIsNotFenced() {
+        group.member(2).alive = false;
+        group.member(3).alive = false;
+        group.run(5000);
+        group.endRegistration(1);
+        group.run(5000);
+        assertEquals(0, group.fences);
+        assertTrue(group.blockedReason().contains("registration"), group.blockedReason());
+    }
+
     /** Guards against a failover that is logged and executed as planned, or the reverse. */
     @Test
     void aSuspicionIsUnplannedAndAShutdownIsPlanned() {
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
@@ -125,9 +125,14 @@
 
     private static InstanceAnnouncement announcement(
             String endpoint, long incarnation, boolean leaving) {
+        return announcement(endpoint, GROUP, incarnation, leaving);
+    }
+
+    private static InstanceAnnouncement announcement(
+            String endpoint, GroupId group, long incarnation, boolean leaving) {
         return new InstanceAnnouncement(
                 new EndpointId(endpoint),
-                GROUP,
+                group,
                 ADDRESS,
                 "region",
                 "data-centre",
@@ -302,6 +307,31 @@
         return cold;
     }
 
+    /** Otherwise proxies send reads to an endpoint of another database until the entry expires. */
+    @Test
+    void anEndpointWhoseAddressAnotherDatabaseUsesIsRemovedAtOnce() throws Exception {
+        start(Meanwhile.NOTHING);
+        announce("e-1", 50, 1);
+        GroupId other = new GroupId("stock", 0);
+        Change database =
+                Change.newBuilder()
+                        .setDatabasePut(
+                                DatabasePut.newBuilder()
+                                        .setDatabase(other.database())
+                                        .setSlots(1)
+                                        .setEndpointsPerGroup(3))
+                        .build();
+        run(() -> log().propose("test", "", now -> List.of(database)));
+        run(() -> registry.announce(announcement("e-9", other, 60, false), 1));
+        kernel.find(EventLoop.NAME, EventLoop.class)
+                .runAndWait(
+                        () -> {
+                            FleetService fleet = kernel.find(FleetService.NAME, FleetService.class);
+                            assertEquals(List.of(), fleet.membership().instances(GROUP));
+                            assertEquals(1, fleet.membership().instances(other).size());
+                        });
+    }
+
     @Test
     void anAnnouncementThatArrivesWhileARemovalIsQueuedChangesNothing() throws Exception {
         start(Meanwhile.NOTHING);
