Ask as many members before a promotion as may hold a write

Cause: the answers needed before a promotion followed from a constant of three endpoints. Two were enough, and the third replica, which had everything, answered BUSY to all calls within the 324 ms until then.

Change: the number follows from the members that may hold a write: the replaced primary, the announced ones, and the registered ones that are silent, also for a new leader. Proxies report the highest position that they acknowledged, so that a member that lacks it is not chosen while another may have it: 3 s for an endpoint that is not announced yet, 8 s for one that does not answer. A replica that was silent for some 10 s while its primary served is marked in the log and not awaited. Nothing changes where the primary acknowledges alone.

Evidence: with the old constant WriteCoverageProperties and GroupFailoverTest#aBusyMemberOfFour... fail, without the reported position the property fails; all pass now.

--- a/build/generate-wire.sh
+++ b/build/generate-wire.sh
@@ -3,7 +3,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 version=$(sed -n 's:.*<protobuf.version>\(.*\)</protobuf.version>.*:\1:p' pom.xml)
-mvn -q -B dependency:copy -Dartifact="com.google.protobuf:protoc:$version:exe:linux-x86_64" \
+case "$(uname -m)" in
+    aarch64) classifier=linux-aarch_64 ;;
+    *) classifier=linux-x86_64 ;;
+esac
+mvn -q -B dependency:copy -Dartifact="com.google.protobuf:protoc:$version:exe:$classifier" \
     -DoutputDirectory="$PWD/target/protoc" -N
 protoc=$(ls target/protoc/protoc-*.exe)
 chmod +x "$protoc"
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverFleet.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverFleet.java
@@ -2,6 +2,7 @@
 
 import org.chivevale.control.internal.fleet.FleetService;
 import org.chivevale.control.internal.fleet.Membership;
+import org.chivevale.core.failover.AcknowledgedWrites;
 import org.chivevale.core.failover.FailureDetector;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.lease.LeaseGrantor;
@@ -37,6 +38,14 @@
      */
     FailureDetector failureDetector(GroupId group);
 
+    /**
+     * Returns what proxies have reported as acknowledged in a group.
+     *
+     * @param group the group
+     * @return the acknowledged writes that this leader knows
+     */
+    AcknowledgedWrites acknowledgedWrites(GroupId group);
+
     /**
      * Returns the monotonic time.
      *
@@ -67,6 +76,11 @@
                 return fleet.failureDetector(group);
             }
 
+            @Override
+            public AcknowledgedWrites acknowledgedWrites(GroupId group) {
+                return fleet.acknowledgedWrites(group);
+            }
+
             @Override
             public long nowNanos() {
                 return EventLoop.nowNanos();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/FailoverService.java
@@ -30,6 +30,7 @@
     private final MemberConnectorFactory connectorFactory;
     private final Map<String, GroupFailover> failovers = new TreeMap<>();
     private final Map<String, GroupReconciler> reconcilers = new TreeMap<>();
+    private final Map<String, LostReplicaMarker> lostReplicas = new TreeMap<>();
     private final FailoverPolicy policy;
     private LogService log;
     private FleetService fleet;
@@ -70,6 +71,7 @@
         if (!log.isLeader()) {
             failovers.clear();
             reconcilers.clear();
+            lostReplicas.clear();
             blockedGroups = 0;
             return;
         }
@@ -79,6 +81,11 @@
             for (int slot = 0; slot < database.slots(); slot++) {
                 GroupId group = new GroupId(database.name(), slot);
                 failover(group).tick();
+                lostReplicas
+                        .computeIfAbsent(
+                                group.toString(),
+                                key -> new LostReplicaMarker(group, failoverLog, failoverFleet))
+                        .check();
                 blocked += blockedReason(group).isEmpty() ? 0 : 1;
                 reconcilers
                         .computeIfAbsent(
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -3,8 +3,10 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.config.AllowedRegions;
@@ -20,12 +22,14 @@
 import org.chivevale.core.failover.MemberPosition;
 import org.chivevale.core.failover.PrimaryEligibility;
 import org.chivevale.core.failover.SwitchoverBackoff;
+import org.chivevale.core.failover.WriteCoverage;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.database.MemberConnection;
 import org.chivevale.database.MemberStatus;
 import org.chivevale.database.PromotionOrder;
+import org.chivevale.wire.proto.EndpointPut;
 import org.chivevale.wire.proto.FailoverStep;
 import org.jboss.logging.Logger;
 
@@ -58,7 +62,10 @@
     private long fenceVersion;
     private long collectStartNanos;
     private long lastCollectNanos;
-    private boolean collecting;
+
+    /** Members whose answers are outstanding; one without an answer does not delay the others. */
+    private final Set<EndpointId> asked = new HashSet<>();
+
     private MemberPosition promotion;
     private long promoteStartNanos;
     private boolean promoting;
@@ -220,7 +227,7 @@
                 watching ? lossReason : null,
                 shuttingDown && (watching || phase != null),
                 phase != null && fleet.leases().isInForce(fenceVersion, now),
-                database == null ? 1 : database.requiredPromotionResponses(),
+                phase == null ? WriteCoverage.of(1) : coverage(configuration, database, replaced),
                 fleet.membership().instances(group).size(),
                 positions,
                 collectStartNanos == 0 ? 0 : millisSince(collectStartNanos, now),
@@ -230,6 +237,39 @@
                 backoff.isPaused(now));
     }
 
+    private WriteCoverage coverage(
+            Configuration configuration, Database database, EndpointId replaced) {
+        if (database == null) {
+            return WriteCoverage.of(1);
+        }
+        if (!database.isCoverageRequired()) {
+            return WriteCoverage.of(database.requiredPromotionResponses(0));
+        }
+        int members = possibleHolders(configuration, replaced).size();
+        return new WriteCoverage(
+                database.requiredPromotionResponses(members),
+                fleet.acknowledgedWrites(group).highest(configuration.group(group).term()),
+                members - 1);
+    }
+
+    /**
+     * Returns the members that may hold an acknowledged write: the replaced primary, those that
+     * announce themselves, and those that are silent but not known to be lost.
+     */
+    private Set<EndpointId> possibleHolders(Configuration configuration, EndpointId replaced) {
+        Set<EndpointId> holders = new HashSet<>();
+        if (replaced != null) {
+            holders.add(replaced);
+        }
+        fleet.membership().instances(group).forEach(each -> holders.add(each.endpoint()));
+        for (EndpointPut registered : configuration.endpoints(group)) {
+            if (!registered.getLost()) {
+                holders.add(new EndpointId(registered.getEndpointId()));
+            }
+        }
+        return holders;
+    }
+
     private boolean isShuttingDown(EndpointId endpoint) {
         InstanceAnnouncement announced =
                 endpoint == null ? null : fleet.membership().instance(endpoint, group);
@@ -295,27 +335,23 @@
         boolean tooSoon =
                 lastCollectNanos != 0
                         && millisSince(lastCollectNanos, now) < COLLECT_INTERVAL_MILLIS;
-        if (collecting || collectStartNanos != 0 && tooSoon) {
+        if (collectStartNanos != 0 && tooSoon) {
             return;
         }
-        collecting = true;
         lastCollectNanos = now;
         if (collectStartNanos == 0) {
             collectStartNanos = now;
             timings.markFenced(group, now);
         }
         long term = configuration.group(group).term();
-        int[] pending = {0};
-        List<InstanceAnnouncement> instances = fleet.membership().instances(group);
-        for (InstanceAnnouncement instance : instances) {
-            pending[0]++;
-            collectPosition(instance, term, step.getPlanned(), () -> collecting = --pending[0] > 0);
+        for (InstanceAnnouncement instance : fleet.membership().instances(group)) {
+            if (asked.add(instance.endpoint())) {
+                collectPosition(instance, term, step.getPlanned());
+            }
         }
-        collecting = pending[0] > 0;
     }
 
-    private void collectPosition(
-            InstanceAnnouncement instance, long term, boolean planned, Runnable ended) {
+    private void collectPosition(InstanceAnnouncement instance, long term, boolean planned) {
         FailoverPhase phaseAtStart = lastPhase;
         memberClient
                 .call(
@@ -329,7 +365,7 @@
                                                                 connection, status, planned, term)))
                 .onComplete(
                         response -> {
-                            ended.run();
+                            asked.remove(instance.endpoint());
                             if (response.succeeded() && phaseAtStart == lastPhase) {
                                 recordPosition(instance, term, response.result());
                             }
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -13,6 +13,7 @@
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.errors.ResultCode;
+import org.chivevale.core.failover.AcknowledgedWrites;
 import org.chivevale.core.failover.FailureDetector;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -25,6 +26,7 @@
 import org.chivevale.wire.FrameConnection;
 import org.chivevale.wire.FrameListener;
 import org.chivevale.wire.FrameServer;
+import org.chivevale.wire.proto.AcknowledgedPosition;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.ChangePush;
 import org.chivevale.wire.proto.DesiredStored;
@@ -64,6 +66,7 @@
     private final ControlSettings settings;
     private FleetShares shares;
     private final Map<GroupId, FailureDetector> failureDetectors = new HashMap<>();
+    private final Map<GroupId, AcknowledgedWrites> acknowledgedWrites = new HashMap<>();
     private final AccountUses accountUses = new AccountUses();
 
     /** Connections of proxies; true for a proxy that needs the endpoints only. */
@@ -148,6 +151,7 @@
                         startUnixMillis << 16,
                         log.earlierLeaderEndNanos(now),
                         settings.warmup());
+        acknowledgedWrites.clear();
         evacuations.reset();
         lastSeenVersion = state.configuration().version();
         loadEndpoints(now);
@@ -155,12 +159,15 @@
 
     /**
      * Loads the endpoints registered in the log into the membership; a new leader assumes that they
-     * are alive until their first announcement is due.
+     * are alive until their first announcement is due, unless the log says that they are lost.
      */
     private void loadEndpoints(long nowNanos) {
         for (EndpointPut put : state.configuration().endpoints()) {
-            membership.announce(
-                    EndpointRegistry.toAnnouncement(put), nowNanos + INITIAL_ENDPOINT_TTL_NANOS);
+            if (!put.getLost()) {
+                membership.announce(
+                        EndpointRegistry.toAnnouncement(put),
+                        nowNanos + INITIAL_ENDPOINT_TTL_NANOS);
+            }
         }
     }
 
@@ -375,6 +382,10 @@
         }
         long leaseNanos = leases.grant(holder, request.getConfigVersion(), now);
         reportHealth(request, now);
+        for (AcknowledgedPosition position : request.getAcknowledgedPositionsList()) {
+            acknowledgedWrites(GroupId.parse(position.getGroupId()))
+                    .report(position.getTerm(), position.getNumber());
+        }
         accountUses.report(proxy.id(), proxy.incarnation(), request.getAccountUsesList());
         RenewAnswer.Builder answer =
                 RenewAnswer.newBuilder()
@@ -520,6 +531,16 @@
                 group, key -> new FailureDetector(HEALTH_REPORT_TTL_NANOS));
     }
 
+    /**
+     * Returns what proxies have reported as acknowledged in a group since this process leads.
+     *
+     * @param group the group
+     * @return the acknowledged writes, to be used on the event loop
+     */
+    public AcknowledgedWrites acknowledgedWrites(GroupId group) {
+        return acknowledgedWrites.computeIfAbsent(group, key -> new AcknowledgedWrites());
+    }
+
     /**
      * Returns the usage counters that proxies have reported.
      *
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/FailoverProperties.java
@@ -48,7 +48,7 @@
                 null,
                 false,
                 fenceInForce,
-                NEEDED,
+                WriteCoverage.of(NEEDED),
                 MEMBERS,
                 positions,
                 collectingForMillis,
--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/PlacementProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/failover/PlacementProperties.java
@@ -246,7 +246,7 @@
                 null,
                 shuttingDown,
                 true,
-                2,
+                WriteCoverage.of(2),
                 3,
                 positions,
                 collectingForMillis,
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -530,6 +530,16 @@
         return endpoints.all();
     }
 
+    /**
+     * Lists the latest announcement of each endpoint of a group.
+     *
+     * @param group the database group
+     * @return a read-only view; empty in proxies
+     */
+    public Collection<EndpointPut> endpoints(GroupId group) {
+        return endpoints.ofGroup(group.toString());
+    }
+
     /**
      * Finds the latest announcement of an endpoint.
      *
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Database.java
@@ -28,12 +28,29 @@
     /**
      * Returns how many members must respond before a promotion.
      *
-     * <p>Unless set, one of them then holds every write that a quorum held.
+     * <p>Unless set, one of them then holds every write that a quorum held, however many members
+     * there are: while one is replaced, the group has more of them than configured.
      *
+     * @param members how many members may have held a write, with the replaced primary
      * @return the set number, or the smallest number that intersects every quorum
      */
-    public int requiredPromotionResponses() {
-        return promotionAnswers > 0 ? promotionAnswers : endpointsPerGroup - quorum() + 1;
+    public int requiredPromotionResponses(int members) {
+        if (promotionAnswers > 0) {
+            return promotionAnswers;
+        }
+        int holders =
+                acknowledgeByQuorum ? Math.max(endpointsPerGroup, members) : endpointsPerGroup;
+        return holders - quorum() + 1;
+    }
+
+    /**
+     * Tells whether replicas acknowledge writes, so that a promotion must not miss those that a
+     * quorum held.
+     *
+     * @return false when the primary acknowledges alone, or the number of responses is set
+     */
+    public boolean isCoverageRequired() {
+        return acknowledgeByQuorum && promotionAnswers == 0;
     }
 
     /**
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/EndpointTable.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/EndpointTable.java
@@ -19,7 +19,12 @@
 final class EndpointTable {
     private static final int MAX_REMOVED = 1000;
 
-    private final Map<String, EndpointPut> registered = new TreeMap<>();
+    /** Ends a group in a key; the names of groups contain neither it nor the next character. */
+    private static final char SEPARATOR = '/';
+
+    private static final char AFTER_SEPARATOR = SEPARATOR + 1;
+
+    private final TreeMap<String, EndpointPut> registered = new TreeMap<>();
     private final Map<String, EndpointRemoved> removed = new LinkedHashMap<>();
 
     void clear() {
@@ -67,6 +72,12 @@
         return left != null && left.getIncarnation() >= incarnation;
     }
 
+    /** Lists the registered endpoints of a group. */
+    Collection<EndpointPut> ofGroup(String group) {
+        return Collections.unmodifiableCollection(
+                registered.subMap(group + SEPARATOR, group + AFTER_SEPARATOR).values());
+    }
+
     Collection<EndpointPut> all() {
         return Collections.unmodifiableCollection(registered.values());
     }
@@ -77,6 +88,6 @@
     }
 
     private static String key(String group, String endpoint) {
-        return group + "/" + endpoint;
+        return group + SEPARATOR + endpoint;
     }
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverPolicy.java
@@ -19,6 +19,19 @@
 public final class FailoverPolicy {
     private static final int RESPONSES_NEEDED_WITH_LOSS = 1;
 
+    /**
+     * How long to wait for members whose responses are needed, before what is known of the
+     * acknowledged writes decides; an endpoint that has crashed may be back within this time.
+     */
+    private static final long ABSENT_MEMBERS_TIMEOUT_MILLIS = 8000;
+
+    /**
+     * How long to wait for a member that has not announced itself yet, if those that have lack an
+     * acknowledged write; endpoints announce themselves more often. The position may also be that
+     * of a write that was never acknowledged and that the primary alone held.
+     */
+    private static final long UNKNOWN_MEMBERS_TIMEOUT_MILLIS = 3000;
+
     private final long promotionTimeoutMillis;
     private final long catchUpTimeoutMillis;
     private final long gracePeriodMillis;
@@ -124,18 +137,9 @@
         if (old == null && mustLeaveEvacuated(view) && primaryMayAnswer) {
             return await(view, "the primary has not answered with its position yet");
         }
-        int needed =
-                view.phase().isLossAccepted()
-                        ? RESPONSES_NEEDED_WITH_LOSS
-                        : view.requiredResponses();
-        if (view.positions().size() < needed) {
-            return await(
-                    view,
-                    view.positions().size()
-                            + " of the "
-                            + needed
-                            + " members needed have answered with their positions"
-                            + noteIfNonePermitted(view));
+        String missing = findMissing(view);
+        if (missing != null) {
+            return await(view, missing + noteIfNonePermitted(view));
         }
         boolean moreExpected = view.positions().size() < view.knownMembers();
         if (moreExpected && view.collectingForMillis() < gracePeriodMillis) {
@@ -144,6 +148,41 @@
         return chooseMostUpToDate(view, oldIntact ? old : null);
     }
 
+    /**
+     * Returns why the members that have answered may lack an acknowledged write; null when they may
+     * not.
+     */
+    private static String findMissing(FailoverView view) {
+        int answered = view.positions().size();
+        if (view.phase().isLossAccepted()) {
+            return answered < RESPONSES_NEEDED_WITH_LOSS ? "no member has answered" : null;
+        }
+        WriteCoverage coverage = view.coverage();
+        boolean isKnownHeld =
+                view.positions().values().stream()
+                        .anyMatch(member -> coverage.isHeldBy(member, view.term()));
+        if (answered < coverage.requiredResponses()) {
+            boolean isProvenHeld = isKnownHeld && coverage.acknowledgedPosition() > 0;
+            boolean isTimedOut = view.collectingForMillis() > ABSENT_MEMBERS_TIMEOUT_MILLIS;
+            return isProvenHeld && isTimedOut
+                    ? null
+                    : answered
+                            + " of the "
+                            + coverage.requiredResponses()
+                            + " members needed have answered with their positions";
+        }
+        long timeoutMillis =
+                answered < coverage.expectedResponses()
+                        ? ABSENT_MEMBERS_TIMEOUT_MILLIS
+                        : UNKNOWN_MEMBERS_TIMEOUT_MILLIS;
+        return isKnownHeld || view.collectingForMillis() > timeoutMillis
+                ? null
+                : "no member that has answered holds the acknowledged position "
+                        + view.term()
+                        + "."
+                        + coverage.acknowledgedPosition();
+    }
+
     /**
      * Chooses a member of an unplanned failover. Members outside the group's regions count for what
      * may have been acknowledged, but are not chosen.
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/FailoverView.java
@@ -20,7 +20,7 @@
  * @param lossReason why control itself takes the primary as lost, or null
  * @param shuttingDown true when the primary, or the one being replaced, has announced its shutdown
  * @param fenceInForce true when no proxy can act on the old primary any more
- * @param requiredResponses how many members must report their positions before one is chosen
+ * @param coverage which responses are needed before a member is chosen
  * @param knownMembers how many members have announced themselves
  * @param positions the members' responses since the fence came into force
  * @param collectingForMillis how long positions have been collected
@@ -41,7 +41,7 @@
         String lossReason,
         boolean shuttingDown,
         boolean fenceInForce,
-        int requiredResponses,
+        WriteCoverage coverage,
         int knownMembers,
         Map<EndpointId, MemberPosition> positions,
         long collectingForMillis,
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Operation.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/Operation.java
@@ -16,4 +16,9 @@
  * @param primaryOnly true when it may run at the primary only
  */
 record Operation(
-        String id, Statement statement, Prepared prepared, Effect effect, boolean primaryOnly) {}
+        String id, Statement statement, Prepared prepared, Effect effect, boolean primaryOnly) {
+    /** Returns true when its success means that writes are committed. */
+    boolean commitsWrites() {
+        return effect == Effect.SINGLE_WRITE || effect == Effect.COMMIT;
+    }
+}
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionEngine.java
@@ -144,6 +144,11 @@
         }
     }
 
+    /** Records that the success of a commit is about to be reported to its caller. */
+    void recordAcknowledged(Placement placement, TermPosition position) {
+        pools.acknowledged().record(placement.group().id(), position);
+    }
+
     /** Returns the regions whose processes may receive a statement's text. */
     AllowedRegions allowedRegions(Route route, ClientAccountId account) {
         return selector.allowedRegions(route, account);
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionPools.java
@@ -71,6 +71,7 @@
     private final Map<GroupId, FreshnessSamples> samples = new HashMap<>();
     private final Set<EndpointId> suspected = new HashSet<>();
     private final Map<GroupId, Long> terms = new HashMap<>();
+    private final AcknowledgedPositions acknowledged = new AcknowledgedPositions();
     private final KnownHosts hosts = new KnownHosts();
     private final ProxySettings settings;
     private EventLoop loop;
@@ -316,6 +317,10 @@
         return samples.computeIfAbsent(group, key -> new FreshnessSamples());
     }
 
+    AcknowledgedPositions acknowledged() {
+        return acknowledged;
+    }
+
     private void onDirectoryChanged() {
         Set<MemberTarget> known = new HashSet<>();
         for (Group group : directory.configuration().groups()) {
@@ -364,6 +369,7 @@
         long now = EventLoop.nowNanos();
         request.setSharesEpoch(sharesEpoch).setDraining(isDraining);
         hosts.addTo(request);
+        acknowledged.addTo(request, directory.configuration());
         for (EndpointPool pool : pools.values()) {
             int wanted = pool.takePeakDemand();
             int limit = pool.limitInForce();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecution.java
@@ -367,6 +367,9 @@
         engine.recordPosition(placement, reply, sentAtNanos);
         EndpointReply effective = ReplyRules.asLostIfReplaced(engine, placement, reply);
         lastDetail = effective.detail();
+        if (effective.reply() == Reply.SUCCESS && operation.commitsWrites()) {
+            engine.recordAcknowledged(placement, effective.position());
+        }
         Decision decision = AttemptPolicy.decide(operation.effect(), effective.reply());
         if (!decision.keepConnection()) {
             closeConnection();
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
@@ -12,6 +12,7 @@
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.account.ClientAccountId;
 import org.chivevale.core.config.Configuration;
+import org.chivevale.core.failover.AcknowledgedWrites;
 import org.chivevale.core.failover.FailoverPolicy;
 import org.chivevale.core.failover.FailureDetector;
 import org.chivevale.core.group.EndpointId;
@@ -25,6 +26,7 @@
 import org.chivevale.database.PromotionOrder;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.DatabasePut;
+import org.chivevale.wire.proto.EndpointPut;
 import org.chivevale.wire.proto.EndpointRemoved;
 import org.chivevale.wire.proto.EvacuationPut;
 import org.chivevale.wire.proto.EvacuationRemoved;
@@ -53,7 +55,9 @@
     private Membership membership;
     private LeaseGrantor leases;
     private FailureDetector detector;
+    private AcknowledgedWrites acknowledged;
     private GroupFailover failover;
+    private LostReplicaMarker lostReplicas;
 
     /** One member; fields are set by the tests. */
     static final class Member {
@@ -123,6 +127,18 @@
         return version;
     }
 
+    /** Adds a member that follows the primary. */
+    Member addMember(int number) {
+        Member member = new Member();
+        members.put("e-" + number, member);
+        return member;
+    }
+
+    /** Lets the proxy report a position of the present term as acknowledged. */
+    void reportAcknowledged(long position) {
+        acknowledged.report(term(), position);
+    }
+
     void evacuate(int dataCenter) {
         commit(
                 Change.newBuilder()
@@ -139,6 +155,24 @@
                         .build());
     }
 
+    /** Registers all members in the log. */
+    void registerAll() {
+        for (String name : members.keySet()) {
+            commit(
+                    Change.newBuilder()
+                            .setEndpointPut(
+                                    EndpointPut.newBuilder()
+                                            .setGroupId(ID.toString())
+                                            .setEndpointId(name)
+                                            .setIncarnation(1))
+                            .build());
+        }
+    }
+
+    boolean isMarkedLost(int number) {
+        return configuration.endpoint(ID, new EndpointId("e-" + number)).getLost();
+    }
+
     /** Ends the registration of a member, as when it deregisters or another has its address. */
     void endRegistration(int number) {
         commit(
@@ -168,6 +202,7 @@
         membership = new Membership(configuration, nowNanos);
         leases = new LeaseGrantor(LEASE_NANOS, 0, nowNanos);
         detector = new FailureDetector(LEASE_NANOS);
+        acknowledged = new AcknowledgedWrites();
         failover =
                 new GroupFailover(
                         ID,
@@ -176,6 +211,7 @@
                         new MemberClient(this::connect),
                         new FailoverPolicy(3000, 1500),
                         new FailoverTimings(new SimpleMeterRegistry()));
+        lostReplicas = new LostReplicaMarker(ID, new Log(), new Fleet());
     }
 
     /** Lets the proxy report that the primary responds. */
@@ -225,6 +261,7 @@
             members.forEach(this::announce);
             membership.removeExpired(nowNanos);
             failover.tick();
+            lostReplicas.check();
         }
     }
 
@@ -300,6 +337,11 @@
             return detector;
         }
 
+        @Override
+        public AcknowledgedWrites acknowledgedWrites(GroupId group) {
+            return acknowledged;
+        }
+
         @Override
         public long nowNanos() {
             return nowNanos;
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
@@ -1,6 +1,7 @@
 package org.chivevale.control.internal.failover;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -249,6 +250,107 @@
         assertTrue(group.blockedReason().contains("registration"), group.blockedReason());
     }
 
+    /** Guards against acknowledged writes that are lost since a member is being replaced. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aBusyMemberOfFourThatMayHoldAcknowledgedWritesIsAwaited(boolean leaderChanges) {
+        group.addMember(4).position = 5;
+        group.member(3).position = 5;
+        group.run(1000);
+        group.reportAcknowledged(10);
+        group.member(2).busy = true;
+        group.member(1).alive = false;
+        group.suspectPrimary();
+        group.runUntil(() -> group.phase().equals("FENCING"));
+        if (leaderChanges) {
+            group.electLeader();
+        }
+        group.run(30_000);
+        assertEquals("FENCING", group.phase());
+        assertTrue(group.blockedReason().contains("of the 3 members"), group.blockedReason());
+        group.member(2).busy = false;
+        runUntilPrimary("e-2");
+    }
+
+    /** Guards against a group without a primary although nothing can be lost. */
+    @Test
+    void aMemberThatStaysAwayIsNotAwaitedForEverIfOthersHoldAllAcknowledgedWrites() {
+        group.addMember(4);
+        group.run(1000);
+        group.reportAcknowledged(10);
+        group.member(2).busy = true;
+        group.member(1).alive = false;
+        group.suspectPrimary();
+        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        assertEquals(0, group.member(2).promotions);
+    }
+
+    /** An endpoint receives writes from the primary before it has announced itself. */
+    @Test
+    void aMemberThatAnnouncesItselfDuringTheFailoverIsChosenForItsWrites() {
+        group.member(2).position = 5;
+        group.member(3).position = 5;
+        group.reportAcknowledged(10);
+        group.member(1).alive = false;
+        group.suspectPrimary();
+        group.runUntil(() -> group.phase().equals("FENCING"));
+        group.run(1500);
+        group.addMember(4);
+        runUntilPrimary("e-4");
+    }
+
+    /** Guards against a group that waits for a replica which has been gone for long. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aReplicaThatWasGoneForLongIsNotAwaited(boolean leaderChanges) {
+        group.addMember(4);
+        group.registerAll();
+        group.member(4).alive = false;
+        group.run(15_000);
+        assertTrue(group.isMarkedLost(4));
+        group.member(1).alive = false;
+        group.suspectPrimary();
+        group.runUntil(() -> group.phase().equals("FENCING"));
+        if (leaderChanges) {
+            group.electLeader();
+        }
+        group.runUntil(() -> !group.primary().isEmpty());
+        assertEquals(2, group.term());
+    }
+
+    /** It may be back with its log, which may hold what the others lack. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aReplicaThatHasJustGoneIsAwaited(boolean leaderChanges) {
+        group.addMember(4);
+        group.registerAll();
+        group.run(1000);
+        group.member(2).position = 5;
+        group.member(3).position = 5;
+        group.member(4).alive = false;
+        group.run(3000);
+        group.member(1).alive = false;
+        group.suspectPrimary();
+        group.runUntil(() -> group.phase().equals("FENCING"));
+        if (leaderChanges) {
+            group.electLeader();
+        }
+        group.run(20_000);
+        assertEquals("FENCING", group.phase());
+        assertFalse(group.isMarkedLost(4));
+        group.member(4).alive = true;
+        runUntilPrimary("e-4");
+    }
+
+    /** Without a primary nothing is acknowledged, so time alone makes no replica dispensable. */
+    @Test
+    void noReplicaIsMarkedAsLostWhileThePrimaryIsSilent() {
+        group.registerAll();
+        group.members.values().forEach(member -> member.alive = false);
+        group.run(30_000);
+        assertFalse(group.isMarkedLost(2));
+    }
+
     /** Guards against a failover that is logged and executed as planned, or the reverse. */
     @Test
     void aSuspicionIsUnplannedAndAShutdownIsPlanned() {
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
@@ -1,6 +1,7 @@
 package org.chivevale.control.internal.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.vertx.core.Future;
 import java.nio.file.Path;
@@ -307,6 +308,33 @@
         return cold;
     }
 
+    /** A mark that stays would let a failover pass over writes that only this replica holds. */
+    @ParameterizedTest
+    @EnumSource
+    void anAnnouncementEndsTheMarkOfALostReplica(Meanwhile meanwhile) throws Exception {
+        start(meanwhile);
+        announce("e-1", 50, 1);
+        run(
+                () ->
+                        log().propose(
+                                        "test",
+                                        "",
+                                        now ->
+                                                now.endpoints(GROUP).stream()
+                                                        .map(EndpointRegistryTest::lost)
+                                                        .toList()));
+        pass(meanwhile);
+        announce("e-1", 50, 2);
+        EndpointPut registered =
+                log().state().configuration().endpoint(GROUP, new EndpointId("e-1"));
+        assertFalse(registered.getLost());
+        assertEquals(List.of("e-1/50"), registered());
+    }
+
+    private static Change lost(EndpointPut put) {
+        return Change.newBuilder().setEndpointPut(put.toBuilder().setLost(true)).build();
+    }
+
     /** Otherwise proxies send reads to an endpoint of another database until the entry expires. */
     @Test
     void anEndpointWhoseAddressAnotherDatabaseUsesIsRemovedAtOnce() throws Exception {
