--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -164,13 +164,20 @@
     private void loadEndpoints(long nowNanos) {
         for (EndpointPut put : state.configuration().endpoints()) {
             if (!put.getLost()) {
-                membership.announce(
-                        EndpointRegistry.toAnnouncement(put),
-                        nowNanos + INITIAL_ENDPOINT_TTL_NANOS);
+                loadEndpoint(put, nowNanos + INITIAL_ENDPOINT_TTL_NANOS);
             }
         }
     }
 
+    /** Loads one endpoint; an entry that cannot be read must not keep the others out. */
+    private void loadEndpoint(EndpointPut put, long expiryNanos) {
+        try {
+            membership.announce(EndpointRegistry.toAnnouncement(put), expiryNanos);
+        } catch (ChivevaleException e) {
+            LOG.warnf("endpoint '%s' in the log is ignored: %s", put.getEndpointId(), e);
+        }
+    }
+
     private void onStateChanged() {
         if (state.isLeader() && state.term() != leaderTerm) {
             leaderTerm = state.term();
--- a/org.chivevale.core/src/main/java/org/chivevale/core/settings/HostPort.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/HostPort.java
@@ -13,7 +13,9 @@
  * @param port the port
  */
 public record HostPort(String host, int port) {
-    private static final Pattern IP = Pattern.compile("[0-9.]{7,15}|[0-9a-fA-F:]{2,39}");
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+    private static final Pattern IP =
+            Pattern.compile("(" + OCTET + "\\.){3}" + OCTET + "|[0-9a-fA-F:]{2,39}");
     private static final int MAX_PORT = 65535;
 
     /**
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Group;
+import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.lease.LeaseHolder;
@@ -21,6 +22,7 @@
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.ProxyMember;
 import org.chivevale.wire.proto.RenewAnswer;
+import org.jboss.logging.Logger;
 
 /**
  * The state that this proxy has received from control: its lease, the configuration, the members.
@@ -29,6 +31,7 @@
  * the version that came with the grant. Used on the event loop.
  */
 public final class Directory {
+    private static final Logger LOG = Logger.getLogger(Directory.class);
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Configuration configuration = new Configuration();
@@ -130,10 +133,12 @@
 
     private void updateMembers(RenewAnswer answer) {
         membersVersion = answer.getMembersVersion();
-        availability.setMembers(answer.getEndpointsList());
+        List<EndpointMember> endpoints =
+                answer.getEndpointsList().stream().filter(Directory::isReadable).toList();
+        availability.setMembers(endpoints);
         endpointsByGroup.clear();
         coldEndpoints.clear();
-        for (EndpointMember member : answer.getEndpointsList()) {
+        for (EndpointMember member : endpoints) {
             endpointsByGroup
                     .computeIfAbsent(member.getGroupId(), key -> new ArrayList<>())
                     .add(member);
@@ -145,6 +150,19 @@
         answer.getProxiesList().forEach(proxy -> proxies.put(proxy.getProxyId(), proxy));
     }
 
+    /** Tells whether an entry can be used; one that cannot must not keep the others out. */
+    private static boolean isReadable(EndpointMember member) {
+        try {
+            new EndpointId(member.getEndpointId());
+            GroupId.parse(member.getGroupId());
+            HostPort.parse(member.getHost() + ":" + member.getPort());
+            return true;
+        } catch (ChivevaleException e) {
+            LOG.warnf("endpoint '%s' is ignored: %s", member.getEndpointId(), e);
+            return false;
+        }
+    }
+
     /**
      * Returns whether this proxy holds a valid lease.
      *
