--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/SingleNodeLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/SingleNodeLog.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.chivevale.consensus.store.LogStore;
+import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.wire.proto.StoredEntry;
 import org.chivevale.wire.proto.StoredSnapshot;
+import org.jboss.logging.Logger;
 
 /**
  * The log of a deployment with a single control process: durable, but not replicated.
@@ -13,6 +15,7 @@
  * <p>Not thread safe.
  */
 public final class SingleNodeLog implements ReplicatedLog {
+    private static final Logger LOG = Logger.getLogger(SingleNodeLog.class);
     private static final long TERM = 1;
 
     private final LogStore store;
@@ -58,14 +61,23 @@
         lastIndex++;
         boolean effective = machine.apply(lastIndex, payload);
         if (store.entries().size() >= snapshotEvery) {
+            saveSnapshot();
+        }
+        done.accept(effective ? AppendResult.APPLIED : AppendResult.SUPERSEDED);
+    }
+
+    /** Writes a snapshot; if the disk refuses it, the entry is in force all the same. */
+    private void saveSnapshot() {
+        try {
             store.saveSnapshot(
                     StoredSnapshot.newBuilder()
                             .setIndex(lastIndex)
                             .setTerm(TERM)
                             .setState(ByteString.copyFrom(machine.snapshot()))
                             .build());
+        } catch (ChivevaleException e) {
+            LOG.warnf("no snapshot up to entry %d now: %s", lastIndex, e.getMessage());
         }
-        done.accept(effective ? AppendResult.APPLIED : AppendResult.SUPERSEDED);
     }
 
     @Override
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Applier.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Applier.java
@@ -6,8 +6,10 @@
 import java.util.function.Consumer;
 import org.chivevale.consensus.ReplicatedLog.AppendResult;
 import org.chivevale.consensus.StateMachine;
+import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.wire.proto.StoredEntry;
 import org.chivevale.wire.proto.StoredSnapshot;
+import org.jboss.logging.Logger;
 
 /**
  * Applies committed entries to the state machine and completes the appends that wait for them.
@@ -17,9 +19,15 @@
  * safe.
  */
 final class Applier {
+    private static final Logger LOG = Logger.getLogger(Applier.class);
+
+    /** Attempts of a snapshot that the disk refuses, in the number of entries between snapshots. */
+    private static final int RETRIES_PER_INTERVAL = 8;
+
     private final RaftLog log;
     private final StateMachine machine;
     private final int snapshotEvery;
+    private int compactAtCount;
     private final TreeMap<Long, Consumer<AppendResult>> waitingAppends = new TreeMap<>();
     private long commitIndex;
     private long appliedIndex;
@@ -28,6 +36,7 @@
         this.log = log;
         this.machine = machine;
         this.snapshotEvery = snapshotEvery;
+        this.compactAtCount = snapshotEvery;
     }
 
     /** Replaces the applied state by a snapshot. */
@@ -45,9 +54,23 @@
         while (appliedIndex < commitIndex) {
             apply(log.entry(appliedIndex + 1));
         }
-        boolean compact = log.entryCount() >= snapshotEvery;
+        boolean compact = log.entryCount() >= compactAtCount;
         if (compact && appliedIndex > log.snapshotIndex()) {
+            compact();
+        }
+    }
+
+    /**
+     * Writes a snapshot. If the disk refuses it, the entries stay, and what was applied is valid
+     * all the same; the next attempt comes after some more entries.
+     */
+    private void compact() {
+        try {
             log.compact(appliedIndex, machine.snapshot());
+            compactAtCount = snapshotEvery;
+        } catch (ChivevaleException e) {
+            compactAtCount = log.entryCount() + Math.max(1, snapshotEvery / RETRIES_PER_INTERVAL);
+            LOG.warnf("no snapshot up to entry %d now: %s", appliedIndex, e.getMessage());
         }
     }
 
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
@@ -8,7 +8,6 @@
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -20,30 +19,36 @@
 import org.chivevale.wire.proto.StoredEntry;
 import org.chivevale.wire.proto.StoredRecord;
 import org.chivevale.wire.proto.StoredSnapshot;
+import org.jboss.logging.Logger;
 
 /**
  * Stores the log of a control process in its data folder: entries, term, vote and newest snapshot.
  *
  * <p>Files: {@code LOCK}, {@code log}, {@code snapshot}. Invariants: writes are synced before a
- * method returns; a snapshot is replaced atomically, and the log keeps the entries after it; the
- * folder is locked against use by a second process. Not thread safe.
+ * method returns; a change whose write fails has no effect on what this object returns, and later
+ * changes succeed once the disk accepts them; a snapshot is replaced atomically, and the log keeps
+ * the entries after it; the folder is locked against use by a second process. Not thread safe.
  */
 public final class LogStore implements LogStorage {
-    private static final String LOG = "log";
+    private static final Logger LOG = Logger.getLogger(LogStore.class);
+    private static final String LOG_FILE = "log";
     private static final String NEW_LOG = "log.new";
     private static final String SNAPSHOT = "snapshot";
     private static final String NEW_SNAPSHOT = "snapshot.new";
 
     private final Path folder;
+    private final StoreFiles files;
     private final FileChannel lockChannel;
     private final FileLock lock;
     private final List<StoredEntry> entries = new ArrayList<>();
     private RecordFile file;
+    private boolean isFolderSynced = true;
     private HardState hardState = HardState.getDefaultInstance();
     private StoredSnapshot snapshot;
 
-    private LogStore(Path folder, FileChannel lockChannel, FileLock lock) {
+    private LogStore(Path folder, StoreFiles files, FileChannel lockChannel, FileLock lock) {
         this.folder = folder;
+        this.files = files;
         this.lockChannel = lockChannel;
         this.lock = lock;
     }
@@ -56,6 +61,10 @@
      * @throws ChivevaleException with STORE_LOCKED, STORE_DAMAGED or STORE_FAILED
      */
     public static LogStore open(Path folder) {
+        return open(folder, StoreFiles.onDisk());
+    }
+
+    static LogStore open(Path folder, StoreFiles files) {
         try {
             Files.createDirectories(folder);
             FileChannel channel =
@@ -69,7 +78,7 @@
                 throw new ChivevaleException(
                         ResultCode.STORE_LOCKED, folder + " is locked by another process");
             }
-            LogStore store = new LogStore(folder, channel, lock);
+            LogStore store = new LogStore(folder, files, channel, lock);
             store.load();
             return store;
         } catch (IOException e) {
@@ -90,18 +99,18 @@
     }
 
     private void load() throws IOException {
-        Files.deleteIfExists(folder.resolve(NEW_LOG));
-        Files.deleteIfExists(folder.resolve(NEW_SNAPSHOT));
+        files.delete(folder.resolve(NEW_LOG));
+        files.delete(folder.resolve(NEW_SNAPSHOT));
         loadSnapshot();
         List<byte[]> records = new ArrayList<>();
-        file = RecordFile.open(folder.resolve(LOG), records);
+        file = RecordFile.open(files, folder.resolve(LOG_FILE), records);
         for (byte[] record : records) {
             load(record);
         }
         entries.removeIf(entry -> entry.getTerm() < snapshotTerm());
         if (hardState.getStoreId().isEmpty()) {
             saveHardState(hardState.toBuilder().setStoreId(UUID.randomUUID().toString()).build());
-            syncFolder();
+            files.syncFolder(folder);
         }
     }
 
@@ -134,7 +143,7 @@
         try {
             record = StoredRecord.parseFrom(bytes);
         } catch (InvalidProtocolBufferException e) {
-            throw corruptionError(folder.resolve(LOG), file.sizeBytes());
+            throw corruptionError(folder.resolve(LOG_FILE), file.sizeBytes());
         }
         if (record.hasHardState()) {
             hardState = record.getHardState();
@@ -199,6 +208,7 @@
     }
 
     private void writeRecord(StoredRecord record) {
+        syncFolder();
         file.append(record.toByteArray());
     }
 
@@ -220,12 +230,14 @@
             ByteBuffer bytes = ByteBuffer.allocate(Integer.BYTES + body.length);
             bytes.putInt(RecordFile.crc(body)).put(body).flip();
             replaceFile(SNAPSHOT, NEW_SNAPSHOT, bytes);
-            dropUnlessContinued(newSnapshot);
-            snapshot = newSnapshot;
-            compact();
         } catch (IOException e) {
+            deleteRemains(NEW_SNAPSHOT);
             throw storageError(folder, e);
         }
+        dropUnlessContinued(newSnapshot);
+        snapshot = newSnapshot;
+        entries.removeIf(entry -> entry.getIndex() <= newSnapshot.getIndex());
+        compact();
     }
 
     /** Drops all entries if the log lacks the last entry of an installed snapshot. */
@@ -244,7 +256,7 @@
     private void replaceFile(String name, String newName, ByteBuffer bytes) throws IOException {
         Path newFile = folder.resolve(newName);
         try (FileChannel channel =
-                FileChannel.open(
+                files.open(
                         newFile,
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
@@ -254,45 +266,73 @@
             }
             channel.force(true);
         }
-        Files.move(
-                newFile,
-                folder.resolve(name),
-                StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
-        syncFolder();
+        files.replace(newFile, folder.resolve(name));
+        files.syncFolder(folder);
     }
 
-    private void compact() throws IOException {
-        List<StoredEntry> kept = new ArrayList<>();
-        for (StoredEntry entry : entries) {
-            if (entry.getIndex() > snapshot.getIndex()) {
-                kept.add(entry);
-            }
+    /**
+     * Writes the log file anew without the entries that the snapshot covers. If that fails, the old
+     * file stays in use, and a later snapshot tries again; loading it ignores those entries.
+     */
+    private void compact() {
+        RecordFile compacted = null;
+        try {
+            Path newFile = folder.resolve(NEW_LOG);
+            files.delete(newFile);
+            compacted = RecordFile.open(files, newFile, new ArrayList<>());
+            compacted.append(
+                    StoredRecord.newBuilder()
+                            .setHardState(hardState)
+                            .addAllEntries(entries)
+                            .build()
+                            .toByteArray());
+            files.replace(newFile, folder.resolve(LOG_FILE));
+        } catch (IOException | ChivevaleException e) {
+            LOG.warnf("the log is not compacted now: %s", e.getMessage());
+            closeQuietly(compacted);
+            deleteRemains(NEW_LOG);
+            return;
         }
-        Path newFile = folder.resolve(NEW_LOG);
-        Files.deleteIfExists(newFile);
-        RecordFile compacted = RecordFile.open(newFile, new ArrayList<>());
-        compacted.append(
-                StoredRecord.newBuilder()
-                        .setHardState(hardState)
-                        .addAllEntries(kept)
-                        .build()
-                        .toByteArray());
-        Files.move(
-                newFile,
-                folder.resolve(LOG),
-                StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
-        syncFolder();
-        file.close();
+        closeQuietly(file);
         file = compacted;
-        entries.clear();
-        entries.addAll(kept);
+        isFolderSynced = false;
+        try {
+            syncFolder();
+        } catch (ChivevaleException e) {
+            LOG.warnf("the replaced log is not synced now: %s", e.getMessage());
+        }
     }
 
-    private void syncFolder() throws IOException {
-        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-            channel.force(true);
+    /** Syncs the folder after the log file was replaced; entries in the new file need it. */
+    private void syncFolder() {
+        if (isFolderSynced) {
+            return;
+        }
+        try {
+            files.syncFolder(folder);
+            isFolderSynced = true;
+        } catch (IOException e) {
+            throw storageError(folder, e);
+        }
+    }
+
+    /** Deletes what a failed write may have left, since it takes room; opening deletes it too. */
+    private void deleteRemains(String name) {
+        try {
+            files.delete(folder.resolve(name));
+        } catch (IOException e) {
+            LOG.debugf("cannot delete %s: %s", name, e.getMessage());
+        }
+    }
+
+    private static void closeQuietly(RecordFile unused) {
+        if (unused == null) {
+            return;
+        }
+        try {
+            unused.close();
+        } catch (IOException e) {
+            LOG.debugf("cannot close a file that is no longer used: %s", e.getMessage());
         }
     }
 
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/RecordFile.java
@@ -34,9 +34,9 @@
     }
 
     /** Opens a file, creating it if needed, and adds the payloads of its records to a list. */
-    static RecordFile open(Path path, List<byte[]> records) throws IOException {
+    static RecordFile open(StoreFiles files, Path path, List<byte[]> records) throws IOException {
         FileChannel channel =
-                FileChannel.open(
+                files.open(
                         path,
                         StandardOpenOption.CREATE,
                         StandardOpenOption.READ,
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/FullDiskChannel.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/FullDiskChannel.java
@@ -7,19 +7,35 @@
 import java.nio.channels.FileLock;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
+import java.util.function.BooleanSupplier;
 
-/** A file on a simulated disk; once full, a write stores half of its bytes and fails. */
+/**
+ * A file on a simulated disk; once full, a write stores half of its bytes and fails. A disk may
+ * also refuse single writes, truncations and syncs.
+ */
 final class FullDiskChannel extends FileChannel {
     private final FileChannel file;
+    private final BooleanSupplier refuses;
     boolean full;
 
     FullDiskChannel(FileChannel file) {
+        this(file, () -> false);
+    }
+
+    FullDiskChannel(FileChannel file, BooleanSupplier refuses) {
         this.file = file;
+        this.refuses = refuses;
+    }
+
+    private void requireAccepted() throws IOException {
+        if (refuses.getAsBoolean()) {
+            throw new IOException("No space left on device");
+        }
     }
 
     @Override
     public int write(ByteBuffer source, long position) throws IOException {
-        if (!full) {
+        if (!full && !refuses.getAsBoolean()) {
             return file.write(source, position);
         }
         ByteBuffer half = source.duplicate();
@@ -35,12 +51,14 @@
 
     @Override
     public FileChannel truncate(long size) throws IOException {
+        requireAccepted();
         file.truncate(size);
         return this;
     }
 
     @Override
     public void force(boolean metaData) throws IOException {
+        requireAccepted();
         file.force(metaData);
     }
 
@@ -72,6 +90,7 @@
 
     @Override
     public int write(ByteBuffer source) throws IOException {
+        requireAccepted();
         return file.write(source);
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/RecordFileTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/RecordFileTest.java
@@ -48,7 +48,7 @@
         file.append(record("second"));
         file.close();
         List<byte[]> read = new ArrayList<>();
-        RecordFile.open(path, read).close();
+        RecordFile.open(StoreFiles.onDisk(), path, read).close();
         assertEquals(
                 List.of("first", "second"),
                 read.stream().map(bytes -> new String(bytes, StandardCharsets.UTF_8)).toList());
