Mark a replica as lost only if a write was acknowledged without it

A replica that was silent while its primary served was marked as lost after some time, also if no write was acknowledged meanwhile; it may then hold what no other replica has, and a failover would not await it.

Change: the mark needs a position that was acknowledged after the replica fell silent.

Evidence: GroupFailoverTest#noReplicaIsMarked... failed before for an idle primary; all of the class pass.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/LostReplicaMarker.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/LostReplicaMarker.java
@@ -16,11 +16,12 @@
 import org.jboss.logging.Logger;
 
 /**
- * Marks replicas in the log that have been silent for long while their primary serves.
+ * Marks replicas in the log that have been silent for long while their primary had writes
+ * acknowledged.
  *
- * <p>A later failover of the primary does not wait for them: what was acknowledged since then is
- * held by others, and so is what they had before. The next announcement removes the mark. Applies
- * to databases whose writes replicas acknowledge. Used on the event loop.
+ * <p>A later failover of the primary does not wait for them: another replica holds a write that was
+ * acknowledged since then, and with it all earlier ones. The next announcement removes the mark.
+ * Applies to databases whose writes replicas acknowledge. Used on the event loop.
  */
 final class LostReplicaMarker {
     private static final Logger LOG = Logger.getLogger(LostReplicaMarker.class);
@@ -33,9 +34,24 @@
     private final GroupId group;
     private final FailoverLog log;
     private final FailoverFleet fleet;
-    private final Map<String, Long> silentSinceNanos = new HashMap<>();
+    private final Map<String, Silence> silences = new HashMap<>();
     private long nextCheckNanos;
 
+    /**
+     * Since when a replica has been silent, and which position was acknowledged by then.
+     *
+     * @param sinceNanos the monotonic time
+     * @param acknowledged the highest position of the group's term; 0 while none is known
+     */
+    private record Silence(long sinceNanos, long acknowledged) {
+        /** Tells whether a write was acknowledged that the silent replica had no part in. */
+        boolean isOutlived(long nowNanos, long acknowledgedNow) {
+            return acknowledged > 0
+                    && acknowledgedNow > acknowledged
+                    && nowNanos - sinceNanos > LOST_AFTER_NANOS;
+        }
+    }
+
     LostReplicaMarker(GroupId group, FailoverLog log, FailoverFleet fleet) {
         this.group = group;
         this.log = log;
@@ -53,16 +69,20 @@
         Configuration configuration = log.configuration();
         Database database = configuration.database(group.database());
         boolean isNeeded = database != null && database.isCoverageRequired();
-        if (!isNeeded || !isPrimaryServing(configuration.group(group), now)) {
-            silentSinceNanos.clear();
+        Group state = configuration.group(group);
+        if (!isNeeded || !isPrimaryServing(state, now)) {
+            silences.clear();
             return;
         }
+        long acknowledged = fleet.acknowledgedWrites(group).highest(state.term());
         Set<String> silent = findSilent(configuration);
-        silentSinceNanos.keySet().retainAll(silent);
+        silences.keySet().retainAll(silent);
         for (String endpoint : silent) {
-            long sinceNanos = silentSinceNanos.computeIfAbsent(endpoint, key -> now);
-            if (now - sinceNanos > LOST_AFTER_NANOS) {
-                silentSinceNanos.put(endpoint, now);
+            Silence silence = silences.get(endpoint);
+            if (silence == null || silence.acknowledged() == 0) {
+                silences.put(endpoint, new Silence(now, acknowledged));
+            } else if (silence.isOutlived(now, acknowledged)) {
+                silences.put(endpoint, new Silence(now, acknowledged));
                 mark(endpoint);
             }
         }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -1,6 +1,5 @@
 package org.chivevale.core.config;
 
-import java.security.MessageDigest;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -9,10 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.chivevale.core.account.ClientAccountId;
-import org.chivevale.core.account.ClientKey;
-import org.chivevale.core.account.OpaqueKey;
 import org.chivevale.core.errors.ChivevaleException;
-import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.session.SessionTokenCodec;
@@ -26,7 +22,6 @@
 import org.chivevale.wire.proto.EvacuationPut;
 import org.chivevale.wire.proto.FailoverStep;
 import org.chivevale.wire.proto.GroupState;
-import org.chivevale.wire.proto.KeyPut;
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.OpenRoutePut;
 import org.chivevale.wire.proto.PlanStored;
@@ -42,7 +37,7 @@
 
     private long version;
     private final Map<String, Account> accounts = new TreeMap<>();
-    private final Map<String, StoredKey> keys = new HashMap<>();
+    private final KeyTable keys = new KeyTable();
     private final Map<String, Database> databases = new TreeMap<>();
     private final Map<String, byte[]> credentials = new TreeMap<>();
     private final Map<String, Group> groups = new TreeMap<>();
@@ -109,8 +104,8 @@
         switch (change.getKindCase()) {
             case ACCOUNT_PUT -> putAccount(change.getAccountPut());
             case ACCOUNT_REMOVED -> removeAccount(change.getAccountRemoved().getAccountId());
-            case KEY_PUT -> putKey(change.getKeyPut());
-            case KEY_WITHDRAWN -> keys.remove(change.getKeyWithdrawn().getKeyId());
+            case KEY_PUT -> keys.put(change.getKeyPut());
+            case KEY_WITHDRAWN -> keys.withdraw(change.getKeyWithdrawn().getKeyId());
             case DATABASE_PUT -> putDatabase(change.getDatabasePut());
             case DATABASE_CREDENTIAL_PUT ->
                     credentials.put(
@@ -159,17 +154,10 @@
 
     private void removeAccount(String accountId) {
         accounts.remove(accountId);
-        keys.values().removeIf(key -> key.account().value().equals(accountId));
+        keys.removeAccount(accountId);
         openRoutes.values().removeIf(route -> route.account().value().equals(accountId));
     }
 
-    private void putKey(KeyPut put) {
-        ClientAccountId account = new ClientAccountId(put.getAccountId());
-        keys.put(
-                put.getKeyId(),
-                new StoredKey(put.getKeyId(), account, put.getHash().toByteArray()));
-    }
-
     private void putDatabase(DatabasePut put) {
         databases.put(
                 put.getDatabase(),
@@ -254,16 +242,7 @@
      * @throws ChivevaleException with KEY_MISSING or KEY_REFUSED
      */
     public StoredKey authenticate(String text) {
-        if (text == null || text.isEmpty()) {
-            throw new ChivevaleException(ResultCode.KEY_MISSING, "no key was sent");
-        }
-        ClientKey sent = ClientKey.parse(text);
-        StoredKey stored = keys.get(sent.id());
-        if (stored == null || !sent.matches(stored.hash())) {
-            throw new ChivevaleException(
-                    ResultCode.KEY_REFUSED, "key " + sent.id() + " is unknown or withdrawn");
-        }
-        return stored;
+        return keys.authenticate(text);
     }
 
     /**
@@ -301,7 +280,7 @@
      * @return the key, or null
      */
     public StoredKey key(String keyId) {
-        return keys.get(keyId);
+        return keys.find(keyId);
     }
 
     /**
@@ -310,7 +289,7 @@
      * @return a read-only view
      */
     public Collection<StoredKey> keys() {
-        return Collections.unmodifiableCollection(keys.values());
+        return keys.all();
     }
 
     /**
@@ -593,9 +572,7 @@
      * @return the stored key, or null when no account has it
      */
     public StoredKey findOpaqueKey(String text) {
-        byte[] hash = OpaqueKey.hash(text);
-        StoredKey stored = keys.get(OpaqueKey.id(hash));
-        return stored != null && MessageDigest.isEqual(stored.hash(), hash) ? stored : null;
+        return keys.findOpaque(text);
     }
 
     /**
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
@@ -306,8 +306,13 @@
         group.addMember(4);
         group.registerAll();
         group.member(4).alive = false;
-        group.run(15_000);
+        for (int second = 0; second < 15; second++) {
+            group.reportAcknowledged(10 + second);
+            group.run(1000);
+        }
         assertTrue(group.isMarkedLost(4));
+        group.member(2).position = 30;
+        group.member(3).position = 30;
         group.member(1).alive = false;
         group.suspectPrimary();
         group.runUntil(() -> group.phase().equals("FENCING"));
@@ -342,11 +347,18 @@
         runUntilPrimary("e-4");
     }
 
-    /** Without a primary nothing is acknowledged, so time alone makes no replica dispensable. */
-    @Test
-    void noReplicaIsMarkedAsLostWhileThePrimaryIsSilent() {
+    /** Time alone makes no replica dispensable: it may still hold what no other one has. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void noReplicaIsMarkedAsLostUnlessWritesAreAcknowledgedWithoutIt(boolean primaryIsSilent) {
         group.registerAll();
-        group.members.values().forEach(member -> member.alive = false);
+        group.reportAcknowledged(10);
+        group.member(1).alive = !primaryIsSilent;
+        group.member(2).alive = false;
+        group.run(5000);
+        if (primaryIsSilent) {
+            group.reportAcknowledged(11);
+        }
         group.run(30_000);
         assertFalse(group.isMarkedLost(2));
     }
