--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetServiceNonsenseTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetServiceNonsenseTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.chivevale.control.ControlSettings;
 import org.chivevale.control.internal.log.LogService;
+import org.chivevale.core.failover.AcknowledgedWrites;
+import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.load.deployment.FreePorts;
@@ -20,6 +22,7 @@
 import org.chivevale.wire.FrameClient;
 import org.chivevale.wire.FrameConnection;
 import org.chivevale.wire.FrameListener;
+import org.chivevale.wire.proto.AcknowledgedPosition;
 import org.chivevale.wire.proto.ConnectionDemand;
 import org.chivevale.wire.proto.Frame;
 import org.chivevale.wire.proto.HealthReport;
@@ -112,11 +115,31 @@
                                     .setCorrelationId(++id)
                                     .setRenewRequest(renewal("proxy-1")));
             assertTrue(answer.getRenewAnswer().getGranted(), answer.toString());
+            assertReportIsKept(kernel, connection, ++id);
         } finally {
             kernel.stop();
         }
     }
 
+    /** What a proxy has acknowledged must be known once its renewal is answered. */
+    private void assertReportIsKept(Kernel kernel, FrameConnection connection, long id)
+            throws InterruptedException {
+        AcknowledgedPosition.Builder reported =
+                AcknowledgedPosition.newBuilder().setGroupId("orders.0").setTerm(2).setNumber(7);
+        RenewRequest.Builder renewal =
+                renewal("proxy-1").setSequence(2).addAcknowledgedPositions(reported);
+        call(connection, Frame.newBuilder().setCorrelationId(id).setRenewRequest(renewal));
+        FleetService fleet = kernel.find(FleetService.NAME, FleetService.class);
+        kernel.find(EventLoop.NAME, EventLoop.class)
+                .runAndWait(
+                        () -> {
+                            AcknowledgedWrites known =
+                                    fleet.acknowledgedWrites(new GroupId("orders", 0));
+                            assertEquals(7, known.highest(2));
+                            assertEquals(0, known.highest(3));
+                        });
+    }
+
     private FrameConnection connect(FrameClient client, HostPort address) throws Exception {
         CompletableFuture<FrameConnection> opened = new CompletableFuture<>();
         client.connect(address.host(), address.port(), new Recorder(), opened::complete);
