Keep a primary whose commits wait for replicas

Cause: its commits waited for two replicas that received nothing. The proxies had no reply for 0.7 s and suspected it; control fenced it, though it answered BUSY, and another primary would have had to wait for the same replicas.

Change: where replicas acknowledge writes, control calls a suspected primary before it fences it, and keeps it for up to 5 s while it answers as a primary or as busy. Other databases are decided as before.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/GroupFailover.java
@@ -107,7 +107,9 @@
         Configuration configuration = log.configuration();
         FailoverStep step = configuration.failovers().get(group.toString());
         FailoverPhase phase = step == null ? null : FailoverPhase.valueOf(step.getPhase());
-        String lossReason = watch.findLoss(configuration, configuration.group(group));
+        Group state = configuration.group(group);
+        boolean suspected = isSuspected(state);
+        String lossReason = watch.findLoss(configuration, state, suspected);
         boolean isEligibilityNeeded =
                 phase != null || lossReason != null || !configuration.evacuations().isEmpty();
         PrimaryEligibility eligibility =
@@ -122,7 +124,14 @@
         }
         updateBackoff(configuration, step, eligibility);
         FailoverAction action =
-                policy.next(buildView(configuration, phase, step, lossReason, eligibility));
+                policy.next(
+                        buildView(
+                                configuration,
+                                phase,
+                                step,
+                                watch.confirmsSuspicion(suspected),
+                                lossReason,
+                                eligibility));
         setBlockedReason(action instanceof FailoverAction.Blocked blocked ? blocked.reason() : "");
         execute(action, configuration, step);
     }
@@ -203,6 +212,7 @@
             Configuration configuration,
             FailoverPhase phase,
             FailoverStep step,
+            boolean suspected,
             String lossReason,
             PrimaryEligibility eligibility) {
         long now = fleet.nowNanos();
@@ -223,7 +233,7 @@
                 step == null ? null : parseEndpoint(step.getCandidateEndpointId()),
                 step != null && step.getPlanned(),
                 step == null ? null : parseEndpoint(step.getPreferredEndpointId()),
-                watching && fleet.failureDetector(group).isSuspected(primary, state.term(), now),
+                watching && suspected,
                 watching ? lossReason : null,
                 shuttingDown && (watching || phase != null),
                 phase != null && fleet.leases().isInForce(fenceVersion, now),
@@ -237,6 +247,12 @@
                 backoff.isPaused(now));
     }
 
+    private boolean isSuspected(Group state) {
+        return state.primary() != null
+                && fleet.failureDetector(group)
+                        .isSuspected(state.primary(), state.term(), fleet.nowNanos());
+    }
+
     private WriteCoverage coverage(
             Configuration configuration, Database database, EndpointId replaced) {
         if (database == null) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/PrimaryWatch.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/PrimaryWatch.java
@@ -1,7 +1,9 @@
 package org.chivevale.control.internal.failover;
 
+import java.util.concurrent.TimeUnit;
 import org.chivevale.control.internal.fleet.InstanceAnnouncement;
 import org.chivevale.core.config.Configuration;
+import org.chivevale.core.config.Database;
 import org.chivevale.core.config.Group;
 import org.chivevale.core.failover.LostPrimaryDetector;
 import org.chivevale.core.failover.LostPrimaryDetector.Answer;
@@ -24,6 +26,9 @@
 final class PrimaryWatch {
     private static final Logger LOG = Logger.getLogger(PrimaryWatch.class);
 
+    /** How long a primary that answers control is kept although proxies suspect it. */
+    private static final long MAX_HOLD_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     /** Matches any incarnation, since those of endpoints are positive. */
     private static final long EARLIEST_INCARNATION = 0;
 
@@ -34,6 +39,8 @@
     private EndpointId watched;
     private long watchedTerm;
     private boolean isInDoubt;
+    private boolean isSuspected;
+    private long suspectedSinceNanos;
 
     PrimaryWatch(GroupId group, FailoverFleet fleet, MemberClient memberClient) {
         this.group = group;
@@ -46,10 +53,12 @@
      *
      * @param configuration contains the registrations
      * @param state the group with its primary
+     * @param suspected true when proxies suspect the primary
      * @return why the primary is lost; null while it is not known to be
      */
-    String findLoss(Configuration configuration, Group state) {
+    String findLoss(Configuration configuration, Group state, boolean suspected) {
         watch(state);
+        updateSuspicion(suspected && mayWaitForReplicas(configuration));
         if (watched == null) {
             return null;
         }
@@ -72,6 +81,40 @@
         return detector.lossReason(now);
     }
 
+    /**
+     * Tells whether a suspected primary is to be replaced. One whose commits wait for replicas
+     * leaves its proxies without replies although it is well, and another primary would wait for
+     * the same replicas; so it is kept for some time while it answers control.
+     *
+     * @param suspected true when proxies suspect the primary
+     * @return true when it is suspected and there is no such reason to keep it
+     */
+    boolean confirmsSuspicion(boolean suspected) {
+        boolean isHeld =
+                isSuspected
+                        && !detector.hasFailed()
+                        && fleet.nowNanos() - suspectedSinceNanos < MAX_HOLD_NANOS;
+        return suspected && !isHeld;
+    }
+
+    private void updateSuspicion(boolean suspected) {
+        if (suspected && !isSuspected) {
+            suspectedSinceNanos = fleet.nowNanos();
+        }
+        isSuspected = suspected;
+    }
+
+    /** Returns true when replicas acknowledge writes and the primary can be called. */
+    private boolean mayWaitForReplicas(Configuration configuration) {
+        Database database = configuration.database(group.database());
+        InstanceAnnouncement announced =
+                watched == null ? null : fleet.membership().instance(watched, group);
+        return database != null
+                && database.isCoverageRequired()
+                && announced != null
+                && announced.followsAutomatically();
+    }
+
     private void watch(Group state) {
         boolean isWatched = state.term() == watchedTerm && state.primary() != null;
         if (!isWatched || !state.primary().equals(watched)) {
@@ -79,6 +122,7 @@
             watchedTerm = state.term();
             detector = new LostPrimaryDetector();
             isInDoubt = false;
+            isSuspected = false;
         }
     }
 
@@ -96,6 +140,9 @@
         if (announced == null || !announced.followsAutomatically()) {
             return null;
         }
+        if (isSuspected) {
+            return "proxies suspect it, and its commits may be waiting for replicas";
+        }
         long now = fleet.nowNanos();
         if (fleet.membership().isFresh(announced, now)) {
             return announced.primary() ? null : "it announces itself as a replica";
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/LostPrimaryDetector.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/LostPrimaryDetector.java
@@ -5,9 +5,10 @@
 /**
  * Detects the loss of a primary that no proxy uses, by the answers to control's own status calls.
  *
- * <p>Control calls only a primary that is in doubt: its announcements have stopped, or it announces
- * itself as a replica. Invariants: a primary that answers as one, or that is busy, is not lost; one
- * failed call is not enough, since the call itself may be lost. Not thread safe.
+ * <p>Control calls only a primary that is in doubt: its announcements have stopped, it announces
+ * itself as a replica, or proxies suspect it. Invariants: a primary that answers as one, or that is
+ * busy, is not lost; one failed call is not enough, since the call itself may be lost. Not thread
+ * safe.
  */
 public final class LostPrimaryDetector {
     private static final long CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -73,6 +74,15 @@
         answersInRow = 0;
     }
 
+    /**
+     * Tells whether the last call found no primary.
+     *
+     * @return false before the first call since the last reset
+     */
+    public boolean hasFailed() {
+        return answersInRow > 0 && (lastAnswer == Answer.NONE || lastAnswer == Answer.REPLICA);
+    }
+
     /**
      * Returns why the primary is lost.
      *
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
@@ -363,6 +363,34 @@
         assertFalse(group.isMarkedLost(2));
     }
 
+    private void suspectPrimaryFor(int seconds) {
+        for (int second = 0; second < seconds; second++) {
+            group.suspectPrimary();
+            group.run(1000);
+        }
+    }
+
+    /** Its commits wait for replicas that receive nothing, so proxies get no replies. */
+    @Test
+    void aSuspectedPrimaryThatAnswersControlIsKeptForSomeTime() {
+        group.member(1).busy = true;
+        suspectPrimaryFor(2);
+        group.run(5000);
+        assertEquals(0, group.fences);
+        suspectPrimaryFor(4);
+        assertEquals(0, group.fences);
+        suspectPrimaryFor(3);
+        assertEquals(1, group.fences);
+    }
+
+    @Test
+    void aSuspectedPrimaryThatDoesNotAnswerControlIsReplacedAtOnce() {
+        group.member(1).alive = false;
+        group.suspectPrimary();
+        group.run(50);
+        assertEquals(1, group.fences);
+    }
+
     /** Guards against a failover that is logged and executed as planned, or the reverse. */
     @Test
     void aSuspicionIsUnplannedAndAShutdownIsPlanned() {
