--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
@@ -35,9 +35,9 @@
 import org.chivevale.wire.proto.RoutePut;
 
 /**
- * A group of three members on a virtual clock: a log that commits at once, one proxy that renews
- * its lease and acknowledges every version, and members that answer at once or not at all. Member
- * {@code e-N} is in data centre {@code dc-N} and region {@code r-N}.
+ * A group of three members, or more if added, on a virtual clock: a log that commits at once, one
+ * proxy that renews its lease and acknowledges every version, and members that answer at once or
+ * not at all. Member {@code e-N} is in data centre {@code dc-N} and region {@code r-N}.
  */
 final class FakeGroup {
     static final GroupId ID = new GroupId("orders", 0);
