Let a status call end with the doubt that made it

Callers: none has seen it; found on reading the change once more. A primary whose commits wait for replicas could be replaced at once, where it should be kept for up to 5 s while it answers control.

Cause: a call that failed after its doubt had ended was counted, so the next suspicion found a failed call before its own had been made.

Change: each doubt has a LostPrimaryDetector of its own, and a call reports to the one that made it; reset() is gone.

Evidence: LostPrimaryTest#aCallThatFailsAfterTheDoubtHasEnded... failed before (fenced once) and passes. Databases without synchronous replicas are decided by the same calls as before.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/PrimaryWatch.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/PrimaryWatch.java
@@ -35,7 +35,10 @@
     private final GroupId group;
     private final FailoverFleet fleet;
     private final MemberClient memberClient;
+
+    /** Of the present doubt; a call that ends after its doubt has ended reports to no one. */
     private LostPrimaryDetector detector = new LostPrimaryDetector();
+
     private EndpointId watched;
     private long watchedTerm;
     private boolean isInDoubt;
@@ -129,7 +132,7 @@
     private void endDoubt() {
         if (isInDoubt) {
             isInDoubt = false;
-            detector.reset();
+            detector = new LostPrimaryDetector();
             LOG.infof("group %s: primary %s is no longer in doubt", group, watched);
         }
     }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/LostPrimaryDetector.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/LostPrimaryDetector.java
@@ -68,16 +68,10 @@
         answersInRow++;
     }
 
-    /** Forgets the answers, since the primary is no longer in doubt or another one is in force. */
-    public void reset() {
-        lastAnswer = Answer.PRIMARY;
-        answersInRow = 0;
-    }
-
     /**
      * Tells whether the last call found no primary.
      *
-     * @return false before the first call since the last reset
+     * @return false before the first answer
      */
     public boolean hasFailed() {
         return answersInRow > 0 && (lastAnswer == Answer.NONE || lastAnswer == Answer.REPLICA);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
@@ -2,6 +2,8 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -68,6 +70,16 @@
         boolean busy;
         boolean announces = true;
 
+        /** Lets calls to it stay without an answer until they are failed. */
+        boolean delaysCalls;
+
+        private final List<Promise<MemberConnection>> delayed = new ArrayList<>();
+
+        void failDelayedCalls() {
+            delayed.forEach(call -> call.fail("not reachable"));
+            delayed.clear();
+        }
+
         /** Neither announces itself nor answers control, but proxies reach it. */
         boolean cutFromControl;
 
@@ -295,8 +307,13 @@
                 nowNanos + ANNOUNCEMENT_TTL_NANOS);
     }
 
-    private Future<Connection> connect(MemberTarget target) {
+    private Future<MemberConnection> connect(MemberTarget target) {
         Member member = members.get(target.endpoint().value());
+        if (member.delaysCalls) {
+            Promise<MemberConnection> call = Promise.promise();
+            member.delayed.add(call);
+            return call.future();
+        }
         return member.alive && !member.cutFromControl
                 ? Future.succeededFuture(new Connection(member, term()))
                 : Future.failedFuture("not reachable");
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/LostPrimaryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/LostPrimaryTest.java
@@ -122,6 +122,22 @@
         assertEquals(1, group.fences);
     }
 
+    /** Guards against a primary that is replaced for a call from before it served again. */
+    @Test
+    void aCallThatFailsAfterTheDoubtHasEndedDoesNotCount() {
+        group.member(1).busy = true;
+        group.member(1).delaysCalls = true;
+        group.suspectPrimary();
+        group.run(100);
+        group.reportHealthyPrimary();
+        group.run(100);
+        group.member(1).delaysCalls = false;
+        group.member(1).failDelayedCalls();
+        group.suspectPrimary();
+        group.run(1000);
+        assertEquals(0, group.fences);
+    }
+
     @Test
     void aSuspectedPrimaryThatDoesNotAnswerControlIsReplacedAtOnce() {
         group.member(1).alive = false;
