--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/PrimaryWatch.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/failover/PrimaryWatch.java
@@ -173,9 +173,6 @@
     }
 
     private static Answer answer(Throwable failure) {
-        boolean isBusy =
-                failure instanceof DatabaseFailure known
-                        && known.kind() == DatabaseFailure.Kind.NO_FREE_SLOT;
-        return isBusy ? Answer.BUSY : Answer.NONE;
+        return DatabaseFailure.isNoFreeSlot(failure) ? Answer.BUSY : Answer.NONE;
     }
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/failover/LostPrimaryDetector.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/failover/LostPrimaryDetector.java
@@ -7,8 +7,8 @@
  *
  * <p>Control calls only a primary that is in doubt: its announcements have stopped, it announces
  * itself as a replica, or proxies suspect it. Invariants: a primary that answers as one, or that is
- * busy, is not lost; one failed call is not enough, since the call itself may be lost. Not thread
- * safe.
+ * busy, is not lost; one failed call is not enough, since the call itself may be lost. An instance
+ * serves one doubt. Not thread safe.
  */
 public final class LostPrimaryDetector {
     private static final long CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
--- a/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseFailure.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/DatabaseFailure.java
@@ -42,6 +42,16 @@
         this.sqlState = sqlState;
     }
 
+    /**
+     * Tells whether a request failed since the endpoint had no capacity for it.
+     *
+     * @param failure how the request failed
+     * @return false for every other failure
+     */
+    public static boolean isNoFreeSlot(Throwable failure) {
+        return failure instanceof DatabaseFailure known && known.kind() == Kind.NO_FREE_SLOT;
+    }
+
     /**
      * Returns the kind.
      *
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/FakeGroup.java
@@ -258,6 +258,15 @@
         runUntil(() -> nowNanos >= endNanos);
     }
 
+    void runUntilPrimary(String endpoint) {
+        runUntil(() -> primary().equals(endpoint));
+    }
+
+    /** Runs until the group has a primary other than the given one. */
+    void runUntilReplaced(String endpoint) {
+        runUntil(() -> !primary().isEmpty() && !primary().equals(endpoint));
+    }
+
     /**
      * Runs until a condition holds; fails when it does not within a minute of the virtual clock.
      */
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/GroupFailoverTest.java
@@ -16,10 +16,6 @@
 class GroupFailoverTest {
     private final FakeGroup group = new FakeGroup();
 
-    private void runUntilPrimary(String endpoint) {
-        group.runUntil(() -> group.primary().equals(endpoint));
-    }
-
     @Test
     void withoutAnEvacuationNothingIsFenced() {
         group.run(10_000);
@@ -30,7 +26,7 @@
     @Test
     void anEvacuatedPrimaryIsSwitchedOverOnce() {
         group.evacuate(1);
-        runUntilPrimary("e-2");
+        group.runUntilPrimary("e-2");
         group.run(20_000);
         assertEquals("e-2", group.primary());
         assertEquals(2, group.term());
@@ -42,7 +38,7 @@
     void ofTwoEvacuatedDataCentersThePrimaryMovesToTheThird() {
         group.evacuate(2);
         group.evacuate(1);
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(0, group.member(2).promotions);
     }
 
@@ -57,7 +53,7 @@
         assertEquals(0, group.fences);
         assertTrue(group.blockedReason().contains("evacuated"), group.blockedReason());
         group.member(3).alive = true;
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals("", group.blockedReason());
     }
 
@@ -65,7 +61,7 @@
     void anEvacuatedPrimaryMovesOnlyIntoAnAllowedRegion() {
         group.allowRegions(List.of("r-1", "r-3"));
         group.evacuate(1);
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(0, group.member(2).promotions);
     }
 
@@ -78,7 +74,7 @@
         group.run(22_000);
         assertTrue(group.fences >= 3 && group.fences <= 5, group.fences + " fences");
         group.member(3).position = 10;
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
     }
 
     @Test
@@ -89,11 +85,11 @@
         group.runUntil(() -> group.phase().equals("FENCING"));
         group.evacuate(1);
         group.evacuate(2);
-        runUntilPrimary("e-2");
+        group.runUntilPrimary("e-2");
         assertEquals(0, group.plannedFences);
         group.run(2000);
         group.member(3).position = 10;
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(3, group.term());
         assertTrue(group.plannedFences >= 1);
     }
@@ -105,7 +101,7 @@
         group.evacuate(1);
         group.runUntil(() -> group.phase().equals("FENCING"));
         group.withdraw(1);
-        runUntilPrimary("e-1");
+        group.runUntilPrimary("e-1");
         group.run(20_000);
         assertEquals("e-1", group.primary());
         assertEquals(1, group.fences);
@@ -119,7 +115,7 @@
         group.runUntil(() -> group.phase().equals(phase));
         group.electLeader();
         group.members.values().forEach(member -> member.refusesPromotion = false);
-        runUntilPrimary("e-2");
+        group.runUntilPrimary("e-2");
         group.run(5000);
         assertEquals(2, group.term());
         assertEquals(1, group.fences);
@@ -141,7 +137,7 @@
         assertEquals(0, group.member(2).promotions + group.member(3).promotions);
         assertTrue(group.blockedReason().contains("regions [r-1]"), group.blockedReason());
         group.allowRegions(List.of("r-1", "r-3"));
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
     }
 
     @Test
@@ -151,7 +147,7 @@
         group.runUntil(() -> group.phase().equals("PROMOTING"));
         group.allowRegions(List.of("r-3"));
         group.member(2).refusesPromotion = false;
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(0, group.member(2).promotions);
     }
 
@@ -161,7 +157,7 @@
         group.member(1).alive = false;
         group.member(2).position = 9;
         group.evacuate(1);
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(1, group.fences);
     }
 
@@ -169,7 +165,7 @@
     @Test
     void aSuspicionIsUnplannedAndAShutdownIsPlanned() {
         group.member(1).leaving = true;
-        runUntilPrimary("e-2");
+        group.runUntilPrimary("e-2");
         assertEquals(1, group.plannedFences);
         group.member(2).alive = false;
         group.member(3).timeline = 2;
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/LostPrimaryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/LostPrimaryTest.java
@@ -14,10 +14,6 @@
 class LostPrimaryTest {
     private final FakeGroup group = new FakeGroup();
 
-    private void runUntilPrimary(String endpoint) {
-        group.runUntil(() -> group.primary().equals(endpoint));
-    }
-
     /** Guards against a group without traffic whose lost primary nobody notices. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -28,7 +24,7 @@
             group.electLeader();
             group.load(1);
         }
-        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        group.runUntilReplaced("e-1");
         assertEquals(1, group.fences);
         assertEquals(0, group.plannedFences);
     }
@@ -47,7 +43,7 @@
     @Test
     void aPrimaryThatWasOnlySilentIsReplacedOnce() {
         group.member(1).cutFromControl = true;
-        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        group.runUntilReplaced("e-1");
         group.member(1).cutFromControl = false;
         group.run(20_000);
         assertEquals(1, group.fences);
@@ -68,7 +64,7 @@
         group.member(1).primary = false;
         group.member(3).primary = true;
         group.member(3).timeline = 2;
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(2, group.term());
         assertEquals(1, group.fences);
     }
@@ -78,7 +74,7 @@
         group.member(1).alive = false;
         group.endRegistration(1);
         group.runUntil(() -> group.fences == 1);
-        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        group.runUntilReplaced("e-1");
         assertEquals(0, group.plannedFences);
     }
 
@@ -87,7 +83,7 @@
     void aPrimaryWhoseRegistrationEndsWhileItServesHandsOverAllItsWrites() {
         group.member(2).position = 8;
         group.endRegistration(1);
-        runUntilPrimary("e-3");
+        group.runUntilPrimary("e-3");
         assertEquals(0, group.member(2).promotions);
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/PromotionCoverageTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/failover/PromotionCoverageTest.java
@@ -15,10 +15,6 @@
 class PromotionCoverageTest {
     private final FakeGroup group = new FakeGroup();
 
-    private void runUntilPrimary(String endpoint) {
-        group.runUntil(() -> group.primary().equals(endpoint));
-    }
-
     /** Guards against acknowledged writes that are lost since a member is being replaced. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -38,7 +34,7 @@
         assertEquals("FENCING", group.phase());
         assertTrue(group.blockedReason().contains("of the 3 members"), group.blockedReason());
         group.member(2).busy = false;
-        runUntilPrimary("e-2");
+        group.runUntilPrimary("e-2");
     }
 
     /** Guards against a group without a primary although nothing can be lost. */
@@ -50,7 +46,7 @@
         group.member(2).busy = true;
         group.member(1).alive = false;
         group.suspectPrimary();
-        group.runUntil(() -> !group.primary().isEmpty() && !group.primary().equals("e-1"));
+        group.runUntilReplaced("e-1");
         assertEquals(0, group.member(2).promotions);
     }
 
@@ -65,7 +61,7 @@
         group.runUntil(() -> group.phase().equals("FENCING"));
         group.run(1500);
         group.addMember(4);
-        runUntilPrimary("e-4");
+        group.runUntilPrimary("e-4");
     }
 
     /** Guards against a group that waits for a replica which has been gone for long. */
@@ -113,7 +109,7 @@
         assertEquals("FENCING", group.phase());
         assertFalse(group.isMarkedLost(4));
         group.member(4).alive = true;
-        runUntilPrimary("e-4");
+        group.runUntilPrimary("e-4");
     }
 
     /** Time alone makes no replica dispensable: it may still hold what no other one has. */
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
@@ -56,11 +56,15 @@
 
     private void start(Meanwhile meanwhile) throws Exception {
         startControl(meanwhile);
+        addDatabase(GROUP);
+    }
+
+    private void addDatabase(GroupId group) throws Exception {
         Change database =
                 Change.newBuilder()
                         .setDatabasePut(
                                 DatabasePut.newBuilder()
-                                        .setDatabase(GROUP.database())
+                                        .setDatabase(group.database())
                                         .setSlots(1)
                                         .setEndpointsPerGroup(3))
                         .build();
@@ -341,15 +345,7 @@
         start(Meanwhile.NOTHING);
         announce("e-1", 50, 1);
         GroupId other = new GroupId("stock", 0);
-        Change database =
-                Change.newBuilder()
-                        .setDatabasePut(
-                                DatabasePut.newBuilder()
-                                        .setDatabase(other.database())
-                                        .setSlots(1)
-                                        .setEndpointsPerGroup(3))
-                        .build();
-        run(() -> log().propose("test", "", now -> List.of(database)));
+        addDatabase(other);
         run(() -> registry.announce(announcement("e-9", other, 60, false), 1));
         kernel.find(EventLoop.NAME, EventLoop.class)
                 .runAndWait(
