Apply only the answer of the renewal in flight

Callers could be served by a version older than the lease allowed: a dropped route or key still in use after config_apply_ms.

Cause: an answer that fences a group waits up to 250 ms before it is applied, and its send time stood in a field. If the connection was lost or a request for rate tokens timed out meanwhile, a newer renewal overwrote the field. The old answer then extended the lease from the newer send time and ended the newer renewal, whose answer was dropped. A process that was frozen in that wait could so lease an old version anew. After a lost renewal its groups also stayed fenced until the next one.

Each renewal now carries its send time, and an answer is applied only while its renewal is the one in flight; giving up a renewal ends its fences. The lease at the older version stays as it was, so control still waits for it.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -30,9 +30,10 @@
 /**
  * Renews the proxy's lease at the leader of control and requests rate tokens there.
  *
- * <p>Invariants: one renewal is in flight at a time; a request for tokens ends with its connection;
- * after a control process has not responded, or is not the leader, the next address is tried. Used
- * on the event loop.
+ * <p>Invariants: one renewal is in flight at a time; its answer is applied with its own send time,
+ * and not at all once it has been given up; a request for tokens ends with its connection; after a
+ * control process has not responded, or is not the leader, the next address is tried. Used on the
+ * event loop.
  */
 public final class ControlLink implements Service, RateRequests {
     /** Name in the kernel. */
@@ -70,10 +71,12 @@
     private boolean isConnecting;
     private final ControlAddresses addresses;
     private long sequence;
-    private boolean isRenewing;
+
+    /** The renewal whose answer has not been applied; null when there is none. */
+    private Renewal renewal;
+
     private boolean responseReceived;
     private boolean renewAgain;
-    private long renewalSentAtNanos;
     private long nextRenewNanos;
     private boolean isStopping;
     private boolean wasLeased;
@@ -82,6 +85,9 @@
     private long rateSentAtNanos;
     private Consumer<RateAnswer> rateCallback;
 
+    /** A renewal that was sent. */
+    private record Renewal(long correlationId, long sentAtNanos) {}
+
     /**
      * Creates the link.
      *
@@ -155,14 +161,15 @@
         loop.repeat(
                 () -> {
                     tick();
-                    boolean isWaiting = isRenewing || rateCallback != null || connection == null;
+                    boolean isWaiting =
+                            renewal != null || rateCallback != null || connection == null;
                     return isWaiting ? TICK_MILLIS : EventLoop.LONGEST_PAUSE_MILLIS;
                 });
     }
 
     /** Renews as soon as possible, to report a change or to fetch one. */
     public void renewSoon() {
-        if (isRenewing) {
+        if (renewal != null) {
             renewAgain = true;
         } else {
             nextRenewNanos = EventLoop.nowNanos();
@@ -173,9 +180,9 @@
     private void tick() {
         long now = EventLoop.nowNanos();
         logLeaseChange(now);
-        if (isRenewing
+        if (renewal != null
                 && !responseReceived
-                && now - renewalSentAtNanos > RESPONSE_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
+                && now - renewal.sentAtNanos() > RESPONSE_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
             onSilence(now);
         }
         boolean rateTimedOut =
@@ -184,7 +191,7 @@
         if (rateTimedOut) {
             onSilence(now);
         }
-        if (isRenewing || now - nextRenewNanos < 0) {
+        if (renewal != null || now - nextRenewNanos < 0) {
             return;
         }
         if (connection == null) {
@@ -214,7 +221,8 @@
             connection.close();
             connection = null;
         }
-        isRenewing = false;
+        renewal = null;
+        directory.endFencing();
         if (rateCallback != null) {
             completeRateRequest(RateAnswer.getDefaultInstance());
         }
@@ -247,11 +255,10 @@
     }
 
     private void renew(long nowNanos) {
-        isRenewing = true;
+        sequence++;
+        renewal = new Renewal(sequence, nowNanos);
         responseReceived = false;
         renewAgain = false;
-        renewalSentAtNanos = nowNanos;
-        sequence++;
         RenewRequest.Builder request =
                 RenewRequest.newBuilder()
                         .setProxyId(settings.id())
@@ -294,7 +301,11 @@
         }
         switch (frame.getBodyCase()) {
             case RENEW_ANSWER -> {
-                if (frame.getCorrelationId() == sequence && isRenewing && !responseReceived) {
+                boolean isAwaited =
+                        renewal != null
+                                && frame.getCorrelationId() == renewal.correlationId()
+                                && !responseReceived;
+                if (isAwaited) {
                     runGuarded(() -> handleRenewal(frame.getRenewAnswer()));
                 }
             }
@@ -337,9 +348,9 @@
     private void handleRenewal(RenewAnswer answer) {
         long now = EventLoop.nowNanos();
         responseReceived = true;
-        renewTimer.record(now - renewalSentAtNanos, TimeUnit.NANOSECONDS);
+        renewTimer.record(now - renewal.sentAtNanos(), TimeUnit.NANOSECONDS);
         if (isStopping) {
-            isRenewing = false;
+            renewal = null;
             directory.dropLease();
             onDeregistered.run();
             return;
@@ -349,14 +360,18 @@
             return;
         }
         addresses.setMembers(answer.getControlAddressesList());
-        applyAfterReplies(answer, directory.beginFencing(answer), now);
+        applyAfterReplies(renewal, answer, directory.beginFencing(answer), now);
     }
 
     /**
      * Applies a response to a renewal. A fence first waits up to {@link #FENCE_WAIT_NANOS} for
      * statements in flight at the primary, since their replies do not count afterwards.
      */
-    private void applyAfterReplies(RenewAnswer answer, Set<GroupId> fenced, long sinceNanos) {
+    private void applyAfterReplies(
+            Renewal answered, RenewAnswer answer, Set<GroupId> fenced, long sinceNanos) {
+        if (answered != renewal) {
+            return;
+        }
         long now = EventLoop.nowNanos();
         boolean hasToWait =
                 now - sinceNanos < FENCE_WAIT_NANOS
@@ -367,7 +382,9 @@
                             FENCE_POLL_MILLIS,
                             timer ->
                                     runGuarded(
-                                            () -> applyAfterReplies(answer, fenced, sinceNanos)));
+                                            () ->
+                                                    applyAfterReplies(
+                                                            answered, answer, fenced, sinceNanos)));
             return;
         }
         apply(answer);
@@ -380,9 +397,10 @@
 
     private void apply(RenewAnswer answer) {
         long now = EventLoop.nowNanos();
-        isRenewing = false;
+        long sentAtNanos = renewal.sentAtNanos();
+        renewal = null;
         long versionBefore = directory.configuration().version();
-        directory.applyRenewal(answer, renewalSentAtNanos);
+        directory.applyRenewal(answer, sentAtNanos);
         renewalParticipants.forEach(participant -> participant.onRenewed(answer));
         boolean hasNewVersion = directory.configuration().version() != versionBefore;
         boolean isDue = renewAgain || hasNewVersion;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -121,11 +121,16 @@
         return Set.copyOf(fencing);
     }
 
+    /** Ends the fencing of all groups, as when the response that began it is given up. */
+    public void endFencing() {
+        fencing.clear();
+    }
+
     /**
      * Returns whether a group is being fenced, so that its primary gets no more statements.
      *
      * @param group the group
-     * @return true from the receipt of a fence until it is in force
+     * @return true from the receipt of a fence until it is in force or given up
      */
     public boolean isFencing(GroupId group) {
         return fencing.contains(group);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
@@ -1,5 +1,6 @@
 package org.chivevale.proxy.internal.fleet;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
@@ -7,8 +8,12 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.process.EventLoop;
 import org.chivevale.process.Metrics;
@@ -107,29 +112,9 @@
     void nonsenseInAnAnswerDoesNotEndTheRenewals() throws Exception {
         answers.addAll(nonsense());
         try (FrameServer control = new FrameServer(HOST, 0, new FakeControl())) {
-            Path file = folder.resolve("proxy.toml");
-            Files.writeString(
-                    file,
-                    """
-                    id = "proxy-1"
-                    region = "muscat"
-                    data_center = "muscat-a"
-                    http_api = false
-                    control = ["127.0.0.1:%d"]
-                    timing.renew_ms = 50
-                    """
-                            .formatted(control.port()));
-            ProxySettings settings = ProxySettings.read(file);
+            ProxySettings settings = settings(control);
             Directory directory = new Directory(settings);
-            Kernel kernel =
-                    new Kernel()
-                            .register(EventLoop.NAME, new EventLoop())
-                            .register(Metrics.NAME, new Metrics())
-                            .register(
-                                    ControlLink.NAME,
-                                    new ControlLink(settings, directory, MemberScope.ENDPOINTS),
-                                    EventLoop.NAME,
-                                    Metrics.NAME);
+            Kernel kernel = kernel(new ControlLink(settings, directory, MemberScope.ENDPOINTS));
             kernel.start();
             try {
                 assertTrue(answered.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS), "renewals ended");
@@ -140,6 +125,100 @@
         }
     }
 
+    /** Answers with a fence and closes the connection; the next renewal gets newer entries. */
+    private static final class ReconnectingControl implements FrameListener {
+        private static final long ANSWER_DELAY_MILLIS = 300;
+
+        private final AtomicInteger renewals = new AtomicInteger();
+        private volatile FrameConnection fencing;
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            long id = frame.getCorrelationId();
+            long known = frame.getRenewRequest().getConfigVersion();
+            int number = renewals.incrementAndGet();
+            if (number == 1) {
+                connection.send(renewal(valid(0)).setCorrelationId(id).build());
+            } else if (number == 2) {
+                fencing = connection;
+                connection.send(renewal(fencesAfter(known, 4)).setCorrelationId(id).build());
+            } else if (number == 3) {
+                CompletableFuture.delayedExecutor(ANSWER_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+                        .execute(
+                                () ->
+                                        connection.send(
+                                                renewal(fencesAfter(known, 5))
+                                                        .setCorrelationId(id)
+                                                        .build()));
+            } else {
+                connection.send(renewal(fencesAfter(known, 5)).setCorrelationId(id).build());
+            }
+        }
+
+        /** Closes the connection of the fence; returns true until the renewal after it came. */
+        boolean closeUntilOvertaken() {
+            fencing.close();
+            return renewals.get() < 3;
+        }
+
+        /** Returns entries that fence a group. */
+        private static RenewAnswer.Builder fencesAfter(long known, long last) {
+            RenewAnswer.Builder answer = granted().setConfigVersion(last);
+            GroupState.Builder fence = GroupState.newBuilder().setGroupId("db1.0").setTerm(2);
+            for (long version = known + 1; version <= last; version++) {
+                answer.addEntries(
+                        LogEntry.newBuilder()
+                                .setVersion(version)
+                                .addChanges(Change.newBuilder().setGroupState(fence)));
+            }
+            return answer;
+        }
+    }
+
+    @Test
+    void anAnswerThatANewerRenewalHasOvertakenIsNotApplied() throws Exception {
+        ReconnectingControl fake = new ReconnectingControl();
+        try (FrameServer control = new FrameServer(HOST, 0, fake)) {
+            ProxySettings settings = settings(control);
+            Directory directory = new Directory(settings);
+            ControlLink link = new ControlLink(settings, directory, MemberScope.ENDPOINTS);
+            List<Long> versions = new CopyOnWriteArrayList<>();
+            directory.addListener(() -> versions.add(directory.configuration().version()));
+            link.addFenceParticipant((group, now) -> fake.closeUntilOvertaken());
+            Kernel kernel = kernel(link);
+            kernel.start();
+            try {
+                awaitTrue(() -> versions.contains(5L), "version 5 is not in force");
+                assertEquals(List.of(3L, 5L), versions);
+            } finally {
+                kernel.stop();
+            }
+        }
+    }
+
+    private ProxySettings settings(FrameServer control) throws Exception {
+        Path file = folder.resolve("proxy.toml");
+        Files.writeString(
+                file,
+                """
+                id = "proxy-1"
+                region = "muscat"
+                data_center = "muscat-a"
+                http_api = false
+                control = ["127.0.0.1:%d"]
+                timing.renew_ms = 50
+                """
+                        .formatted(control.port()));
+        return ProxySettings.read(file);
+    }
+
+    private static Kernel kernel(ControlLink link) {
+        return new Kernel()
+                .register(EventLoop.NAME, new EventLoop())
+                .register(Metrics.NAME, new Metrics())
+                .register(ControlLink.NAME, link, EventLoop.NAME, Metrics.NAME);
+    }
+
     private static void awaitConfiguration(Kernel kernel, Directory directory)
             throws InterruptedException {
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
@@ -156,4 +235,13 @@
             Thread.sleep(5);
         }
     }
+
+    private static void awaitTrue(BooleanSupplier condition, String otherwise)
+            throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < endNanos, otherwise);
+            Thread.sleep(5);
+        }
+    }
 }
