Roll back a transaction whose key is withdrawn

Callers with a withdrawn key went on reading and writing, and committed, in a transaction that was open when the key was withdrawn, for as long as it lasted; a key that moved to another account went on under the old one. A backend so ran requests with a dropped key longer than config_apply_ms after the acknowledgement, and, with a second session on the same proxy, after it had seen the newer version.

Cause: key and route were looked up at the start of an operation only.

Each statement and COMMIT of a transaction now looks the key up again with the transaction's route. If it does not stand for the transaction's account, nothing is sent, the transaction is rolled back and the answer is ABORTED, which is true; the next operation gets DENIED. A transaction without a key on a route that needs none is not touched. A transaction keeps a removed route (new test, passed before as well).

Evidence: before, "COMPLETE signed.id3 ... expected: <ABORTED> but was: <>" for a COMMIT and a write with a withdrawn key, and the same for a COMMIT with a key that had moved; the four tests pass now.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -22,12 +22,13 @@
  *
  * <p>Invariants: statements are executed one at a time, in the order in which they arrived; key and
  * route are looked up again at the start of each operation, which is a transaction or a statement
- * outside of one; a transaction keeps the route that was in force at its start. Used on the event
- * loop.
+ * outside of one; a transaction keeps the route that was in force at its start, and ends without
+ * effect once the key does not stand for its account any more. Used on the event loop.
  */
 public final class CallerSession {
     private static final int MAX_PIPELINED = 64;
     private static final String NO_REQUEST = "-";
+    private static final String KEY_CHANGED = "the key was withdrawn or moved to another account";
     private static final ClientAccountId ANONYMOUS = new ClientAccountId("anonymous");
 
     private final SessionService service;
@@ -247,6 +248,11 @@
         }
     }
 
+    /** Returns whether the key still stands for the account of the open transaction. */
+    private boolean isKeyInForce() {
+        return transaction.accountId().equals(findAccount(transaction.route()));
+    }
+
     private void commit(String id) {
         OpenTransaction committing = transaction;
         if (committing.hasFailed()) {
@@ -256,6 +262,12 @@
             complete(SessionResult.failed(SessionError.ABORTED, reason, TransactionState.NONE));
             return;
         }
+        if (!isKeyInForce()) {
+            committing.rollBack();
+            transaction = null;
+            fail(id, SessionError.ABORTED, KEY_CHANGED);
+            return;
+        }
         Effect effect = committing.hasWritten() ? Effect.COMMIT : Effect.COMMIT_OF_READS;
         StatementExecutor.executeInTransaction(
                 service.engine(),
@@ -291,6 +303,11 @@
                     unknown ? "no such prepared statement" : "a transaction is open");
             return;
         }
+        if (!isKeyInForce()) {
+            transaction.rollBack();
+            fail(id, SessionError.ABORTED, KEY_CHANGED);
+            return;
+        }
         OpenTransaction current = transaction;
         StatementExecutor.executeInTransaction(
                 service.engine(),
