Answer BUSY instead of a refusal without a lease

A caller whose key or database had been added in the meantime got DENIED or NODB from a proxy that held no lease, as while control could not be reached or an answer of control could not be applied.

Cause: the lease was checked when a session was opened and when a statement was sent to an endpoint, but not when an open session's operation was refused, so the refusal came from a configuration that was no longer in force there.

The lease is checked first wherever access is checked. BUSY is true, and the caller tries elsewhere.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -28,6 +28,7 @@
 public final class CallerSession {
     private static final int MAX_PIPELINED = 64;
     private static final String NO_REQUEST = "-";
+    private static final String NO_LEASE = "no lease from control";
     private static final String KEY_CHANGED = "the key was withdrawn or moved to another account";
     private static final ClientAccountId ANONYMOUS = new ClientAccountId("anonymous");
 
@@ -66,7 +67,7 @@
         if (isEnded) {
             return;
         }
-        SessionError error = service.isLeased() ? checkAccess() : SessionError.BUSY;
+        SessionError error = checkAccess();
         if (error != null) {
             service.logRejected(NO_REQUEST, host, key, error, "when the session was opened");
         }
@@ -75,7 +76,11 @@
         runNext();
     }
 
+    /** Returns why no operation may begin; null when one may. */
     private SessionError checkAccess() {
+        if (!service.isLeased()) {
+            return SessionError.BUSY;
+        }
         Configuration configuration = service.configuration();
         Route route = configuration.findRouteByHost(host);
         if (route == null) {
@@ -146,7 +151,8 @@
         }
         SessionError error = checkAccess();
         if (error != null) {
-            fail(id, error, "refused by the configuration in force");
+            boolean isUnleased = error == SessionError.BUSY;
+            fail(id, error, isUnleased ? NO_LEASE : "refused by the configuration in force");
             return;
         }
         Route route = service.configuration().findRouteByHost(host);
