--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/AnnouncementReader.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/admin/AnnouncementReader.java
@@ -13,6 +13,7 @@
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.settings.HostPort;
+import org.chivevale.core.util.Checks;
 
 /**
  * Parses and validates the announcements of endpoints.
@@ -36,7 +37,7 @@
     }
 
     void acceptAnnouncement(String credential, JsonNode body, long nowNanos) {
-        EndpointId endpoint = new EndpointId(text(body, "endpoint"));
+        EndpointId endpoint = new EndpointId(Checks.name("endpoint", text(body, "endpoint")));
         int timeToLiveMillis = number(body, "time_to_live_ms", MIN_TTL_MILLIS, MAX_TTL_MILLIS);
         List<InstanceAnnouncement> instances = new ArrayList<>();
         for (JsonNode group : body.path("groups")) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/AccountPlanner.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/intent/AccountPlanner.java
@@ -8,6 +8,7 @@
 import org.chivevale.core.config.AllowedRegions;
 import org.chivevale.core.config.Configuration;
 import org.chivevale.core.config.Route;
+import org.chivevale.core.util.Checks;
 import org.chivevale.wire.proto.AccountPut;
 import org.chivevale.wire.proto.Change;
 
@@ -40,7 +41,8 @@
 
     PlannedChanges create(Intent intent) {
         intent.rejectUnknownFields(FIELDS);
-        ClientAccountId id = new ClientAccountId(intent.text("account"));
+        ClientAccountId id =
+                new ClientAccountId(Checks.name("client account", intent.text("account")));
         if (configuration.account(id) != null) {
             throw Intent.invalid("client account '" + id + "' already exists");
         }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/account/ClientAccountId.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/account/ClientAccountId.java
@@ -3,15 +3,16 @@
 import org.chivevale.core.util.Checks;
 
 /**
- * Id of a client account, also the name of its database role and schema.
+ * Id of a client account.
  *
- * <p>Immutable.
+ * <p>Immutable. An account that operators create has a strict name, which is also that of its
+ * database role and schema.
  *
  * @param value the name
  */
 public record ClientAccountId(String value) {
     public ClientAccountId {
-        Checks.name("client account", value);
+        Checks.externalName("client account", value);
     }
 
     @Override
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/EndpointTable.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/EndpointTable.java
@@ -19,8 +19,8 @@
 final class EndpointTable {
     private static final int MAX_REMOVED = 1000;
 
-    /** Ends a group in a key; the names of groups contain neither it nor the next character. */
-    private static final char SEPARATOR = '/';
+    /** Ends a group in a key; no name contains whitespace. */
+    private static final char SEPARATOR = ' ';
 
     private static final char AFTER_SEPARATOR = SEPARATOR + 1;
 
--- a/org.chivevale.core/src/main/java/org/chivevale/core/group/GroupId.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/group/GroupId.java
@@ -16,7 +16,7 @@
     public static final int MAX_SLOTS = 4096;
 
     public GroupId {
-        Checks.name("database", database);
+        Checks.externalName("database", database);
         if (slot < 0 || slot >= MAX_SLOTS) {
             throw new ChivevaleException(
                     ResultCode.SLOT_UNKNOWN,
--- a/org.chivevale.database/src/main/java/org/chivevale/database/internal/postgres/Sql.java
+++ b/org.chivevale.database/src/main/java/org/chivevale/database/internal/postgres/Sql.java
@@ -116,6 +116,6 @@
     static final String CLEAR_PRIMARY_CONNINFO = "ALTER SYSTEM SET primary_conninfo = ''";
 
     private static String quote(ClientAccountId account) {
-        return '"' + account.value() + '"';
+        return '"' + account.value().replace("\"", "\"\"") + '"';
     }
 }
--- a/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/EndpointMain.java
+++ b/org.chivevale.endpoint/src/main/java/org/chivevale/endpoint/EndpointMain.java
@@ -12,6 +12,7 @@
 import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.ProcessLifetime;
+import org.chivevale.core.util.Checks;
 import org.chivevale.endpoint.internal.instance.Instance;
 import org.chivevale.endpoint.internal.postgres.PgServer;
 import org.chivevale.endpoint.internal.replication.ReplicationReceiver;
@@ -57,7 +58,7 @@
         Faults faults = new Faults(settings.connectDelayMillis(), settings.connectionLimit());
         Map<String, Instance> instances = new LinkedHashMap<>();
         for (int slot : settings.slots()) {
-            GroupId group = new GroupId(settings.database(), slot);
+            GroupId group = new GroupId(Checks.name("database", settings.database()), slot);
             boolean primary = settings.primarySlots().contains(slot);
             String name = settings.id() + "_" + slot;
             instances.put(
