Form a log only once every initial voter is new

What operators would see: a configuration that was acknowledged comes back older, or is lost, after a control process has lost its data folder and starts again with first = true in its settings.

Cause: such a process took the shared store id of the initial voters again, although that member had voted and stored entries. It voted at once, beside a leader with a lease and a second time in a term, and its acknowledgements counted for entries that it no longer had.

Change: a member with first = true keeps its random store id until each of the seeds has answered that it is new, which its term of 0 shows. Answers name the store id that asked, so none from an earlier life counts. A seed that holds a log does not give that answer, so the wiped process joins as a learner, as it does with first = false. The joining moves to a class of its own.

The first start now needs all seeds to answer once, not two of three: one that does not start holds up the formation. Not measured with real processes.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -14,10 +14,7 @@
 import org.chivevale.wire.proto.AppendAnswer;
 import org.chivevale.wire.proto.AppendRequest;
 import org.chivevale.wire.proto.HardState;
-import org.chivevale.wire.proto.JoinAnswer;
-import org.chivevale.wire.proto.JoinRequest;
 import org.chivevale.wire.proto.LeadershipOffer;
-import org.chivevale.wire.proto.Participants;
 import org.chivevale.wire.proto.RaftMessage;
 import org.chivevale.wire.proto.SnapshotRequest;
 import org.chivevale.wire.proto.StoredEntry;
@@ -64,14 +61,13 @@
     private MemberId self;
     private String selfText;
     private final Election election = new Election(this);
-    private final List<HostPort> seeds = new ArrayList<>();
+    private final Joining joining;
     private Role role = Role.FOLLOWER;
     private Leadership leadership;
     private String leader = "";
     private long lastLeaderContactNanos;
     private long nextElectionNanos;
     private long lastElectionNanos;
-    private long nextJoinNanos;
     private boolean leaderKnown;
     private long processStartNanos;
     private boolean isLeaderAgain;
@@ -114,7 +110,7 @@
         this.processStartNanos = now();
         this.lastLeaderContactNanos = processStartNanos;
         this.lastElectionNanos = now() - INITIAL_BACKOFF_NANOS;
-        this.nextJoinNanos = now();
+        this.joining = new Joining(this);
         scheduleElection();
         StoredSnapshot snapshot = store.snapshot();
         if (snapshot != null) {
@@ -123,31 +119,36 @@
     }
 
     /**
-     * Makes this member one of the initial voters, unless its data folder is in use already or its
-     * address is not among them.
+     * Makes this member one of the initial voters once each of them has said that it is new, unless
+     * its data folder is in use already or its address is not among them.
      *
      * @param addresses the initial voters, the same in every process
      * @param storeId store id that all initial voters share
      */
     public void bootstrap(List<HostPort> addresses, String storeId) {
-        boolean used = log.lastIndex() > 0 || term() > 0;
-        if (used || !addresses.contains(self.address())) {
-            return;
+        if (isNew() && log.lastIndex() == 0 && addresses.contains(self.address())) {
+            joining.form(new Formation(addresses, storeId));
         }
-        store.adoptStoreId(storeId);
-        self = new MemberId(self.address(), storeId);
+    }
+
+    /** Returns whether this member has promised nothing yet, neither by a vote nor by an entry. */
+    boolean isNew() {
+        return term() == 0;
+    }
+
+    /** Makes this member one of the initial voters of a log that all of them form. */
+    void becomeVoter(Formation formed) {
+        store.adoptStoreId(formed.storeId());
+        self = new MemberId(self.address(), formed.storeId());
         selfText = self.toString();
-        Participants.Builder first = Participants.newBuilder();
-        for (HostPort address : addresses) {
-            first.addVoters(new MemberId(address, storeId).toString());
-        }
         log.append(
                 List.of(
                         StoredEntry.newBuilder()
                                 .setIndex(1)
                                 .setTerm(0)
-                                .setParticipants(first)
+                                .setParticipants(formed.participants())
                                 .build()));
+        LOG.infof("all %d seeds are new: this is a voter of a new log", formed.size());
         lastLeaderContactNanos = now() - timing.electionMinNanos();
         nextElectionNanos = now() + electionJitterNanos();
     }
@@ -195,8 +196,7 @@
 
     @Override
     public void setSeeds(List<HostPort> addresses) {
-        seeds.clear();
-        seeds.addAll(addresses);
+        joining.setSeeds(addresses);
     }
 
     private long now() {
@@ -239,6 +239,7 @@
             return;
         }
         long now = now();
+        joining.tick(now);
         if (role == Role.LEADER) {
             leadership.tick(now);
         } else if (now - nextElectionNanos >= 0) {
@@ -253,10 +254,7 @@
         if (isVoter(selfText)) {
             election.start(true, wasLeaderBeforeStart());
         }
-        if (now - nextJoinNanos >= 0) {
-            nextJoinNanos = now + timing.electionMinNanos();
-            sendJoinRequests();
-        }
+        joining.sendRequestsWhenDue(now, timing.electionMinNanos());
         if (!isVoter(selfText)) {
             scheduleElection();
         }
@@ -266,15 +264,6 @@
         return log.participants().getVotersList().contains(member);
     }
 
-    private void sendJoinRequests() {
-        RaftMessage.Builder message = message().setJoinRequest(JoinRequest.getDefaultInstance());
-        for (HostPort seed : seeds) {
-            if (!seed.equals(self.address())) {
-                transport.send(seed, message.build());
-            }
-        }
-    }
-
     RaftMessage.Builder message() {
         return RaftMessage.newBuilder().setFrom(selfText).setTerm(term());
     }
@@ -304,8 +293,8 @@
 
     private void handle(RaftMessage message) {
         switch (message.getBodyCase()) {
-            case JOIN_REQUEST -> onJoinRequest(message.getFrom());
-            case JOIN_ANSWER -> onJoinAnswer(message.getJoinAnswer());
+            case JOIN_REQUEST -> joining.onRequest(message);
+            case JOIN_ANSWER -> joining.onAnswer(message);
             case VOTE_REQUEST -> election.onVoteRequest(message);
             case VOTE_ANSWER -> election.onVoteAnswer(message);
             case APPEND_REQUEST -> {
@@ -328,21 +317,6 @@
         }
     }
 
-    private void onJoinRequest(String member) {
-        if (role == Role.LEADER) {
-            leadership.onJoinRequest(member, now());
-        } else if (!leader.isEmpty()) {
-            send(member, message().setJoinAnswer(JoinAnswer.newBuilder().setLeader(leader)));
-        }
-    }
-
-    private void onJoinAnswer(JoinAnswer answer) {
-        boolean otherLeader = !answer.getLeader().isEmpty() && !answer.getLeader().equals(selfText);
-        if (otherLeader && role != Role.LEADER) {
-            send(answer.getLeader(), message().setJoinRequest(JoinRequest.getDefaultInstance()));
-        }
-    }
-
     /** Accepts the sender as leader; returns false when its term is outdated. */
     private boolean acceptLeader(RaftMessage message) {
         if (message.getTerm() < term()) {
@@ -495,6 +469,20 @@
         return role;
     }
 
+    /** Returns the leadership while this member leads; otherwise null. */
+    Leadership leadership() {
+        return leadership;
+    }
+
+    /** Returns the leader that this member follows; empty when none is known. */
+    String leaderMember() {
+        return leader;
+    }
+
+    void transmit(HostPort to, RaftMessage message) {
+        transport.send(to, message);
+    }
+
     /** Becomes a candidate in the next term, or a pre-candidate in the current one. */
     void becomeCandidate(boolean preVote) {
         leader = "";
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -253,8 +253,13 @@
         int disksLost = 0;
         for (int step = 0; step < 15; step++) {
             Member victim = simulation.members.get(simulation.random.nextInt(5));
-            switch (simulation.random.nextInt(4)) {
+            switch (simulation.random.nextInt(5)) {
                 case 0 -> restartRepeatedly(simulation, victim);
+                case 2 -> {
+                    cutLeaderFromTwoOthers(simulation);
+                    simulation.run(600 + simulation.random.nextInt(300));
+                    restartRepeatedly(simulation, victim);
+                }
                 case 1 -> {
                     if (disksLost < DISKS_THAT_MAY_BE_LOST) {
                         disksLost++;
@@ -271,6 +276,20 @@
         }
     }
 
+    private static void cutLeaderFromTwoOthers(RaftSimulation simulation) {
+        Member leader = simulation.leader();
+        if (leader == null) {
+            return;
+        }
+        List<Member> others = new ArrayList<>(simulation.members);
+        others.remove(leader);
+        Collections.shuffle(others, simulation.random);
+        for (Member other : others.subList(0, 2)) {
+            simulation.cutLink(leader, other);
+            simulation.cutLink(other, leader);
+        }
+    }
+
     private static void restartRepeatedly(RaftSimulation simulation, Member victim) {
         for (int i = 0; i < 3; i++) {
             victim.kill();
@@ -279,6 +298,30 @@
         }
     }
 
+    /** A process that starts again with the settings of its first start must not vote anew. */
+    @Property(tries = 300, seed = "20261206")
+    void noAcknowledgedEntryIsLostWhenWipedMembersBootstrapAgain(@ForAll long seed) {
+        RaftSimulation simulation = formedCluster(seed);
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 4; i++) {
+                simulation.propose();
+                simulation.run(simulation.random.nextInt(60));
+            }
+            List<Member> order = new ArrayList<>(simulation.members);
+            Collections.shuffle(order, simulation.random);
+            if (simulation.random.nextBoolean()) {
+                order.forEach(Member::kill);
+            }
+            for (Member lost : order.subList(0, DISKS_THAT_MAY_BE_LOST)) {
+                lost.wipe();
+                lost.start(true);
+                simulation.run(simulation.random.nextInt(1_000));
+            }
+            simulation.run(simulation.random.nextInt(1_500));
+            simulation.repairAndVerify();
+        }
+    }
+
     @Property(tries = 100, seed = "20261204")
     void aNewMemberReplacesAVoterThatIsLostForGood(@ForAll long seed) {
         RaftSimulation simulation = formedCluster(seed);
