Keep nothing of an entry that fails half way

Callers of a proxy that could not apply an entry of the log were served by a part of it: the changes before the failing one stayed, under the version before, and the next renewal without that entry leased them.

Cause: Configuration.apply raises the version last and does not undo; the proxy dropped its lease but kept the object, and asked control for the entries after the old version.

The proxy now drops the configuration with the lease, so that the next renewal asks from version 0 and brings a whole one; until then callers get BUSY. The session secret is kept, as before, since no change removes it and responses in progress need it. An entry that fails each time leaves the proxy without a lease, and it asks for all entries each time.

Evidence: without the clearing, the test failed with "no lease with the whole configuration ==> expected: <true> but was: <false>" (two accounts under version 3 instead of one); ControlLinkTest (3) and the tests of core.config (10) pass now.

--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/Configuration.java
@@ -54,7 +54,8 @@
     private SessionTokenCodec sessionTokens;
 
     /**
-     * Applies the next entry; ignores one that was applied before.
+     * Applies the next entry; ignores one that was applied before. On failure a part of its changes
+     * may be left, with the version before, and must not be used.
      *
      * @param entry the entry with the version after the current one
      * @throws IllegalStateException when entries in between are missing
@@ -72,8 +73,8 @@
     }
 
     /**
-     * Replaces the configuration with a snapshot; ignores an older one. Leaves version 0 on
-     * failure.
+     * Replaces the configuration with a snapshot; ignores an older one. On failure a part of it may
+     * be left, with version 0, and must not be used.
      *
      * @param snapshot a result of {@link #snapshot}
      */
@@ -81,6 +82,13 @@
         if (snapshot.getVersion() < version) {
             return;
         }
+        clear();
+        snapshot.getChangesList().forEach(this::apply);
+        version = snapshot.getVersion();
+    }
+
+    /** Returns to version 0; keeps the session secret, which responses in progress need. */
+    public void clear() {
         version = 0;
         accounts.clear();
         keys.clear();
@@ -96,8 +104,6 @@
         evacuations.clear();
         desired = DesiredStored.getDefaultInstance();
         sessionLimits = SessionLimits.DEFAULT;
-        snapshot.getChangesList().forEach(this::apply);
-        version = snapshot.getVersion();
     }
 
     private void apply(Change change) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -64,8 +64,9 @@
     }
 
     /**
-     * Applies a granted renewal: first configuration and members, then the lease. Drops the lease
-     * and fails if the configuration cannot be applied.
+     * Applies a granted renewal: first configuration and members, then the lease. If the
+     * configuration cannot be applied, drops it with the lease and fails, so that the next renewal
+     * brings a whole one.
      *
      * @param answer the response
      * @param sentAtNanos when the request was sent, on the monotonic clock
@@ -98,6 +99,7 @@
             answer.getEntriesList().forEach(configuration::apply);
         } catch (RuntimeException e) {
             lease.drop();
+            configuration.clear();
             throw e;
         }
     }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
@@ -40,6 +40,8 @@
 class ControlLinkTest {
     private static final String HOST = "127.0.0.1";
     private static final long MAX_WAIT_SECONDS = 10;
+    private static final AccountPut OTHER_ACCOUNT =
+            AccountPut.newBuilder().setAccountId("other").build();
 
     @TempDir Path folder;
     private final Queue<Frame.Builder> answers = new ArrayDeque<>();
@@ -196,6 +198,45 @@
         }
     }
 
+    /** Sends once an entry of which only the first change can be applied; has version 3 itself. */
+    private static final class EntryFailingControl implements FrameListener {
+        private final AtomicInteger renewalsOfVersion3 = new AtomicInteger();
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            long known = frame.getRenewRequest().getConfigVersion();
+            boolean isFirst = known == 3 && renewalsOfVersion3.incrementAndGet() == 1;
+            RenewAnswer.Builder answer = isFirst ? halfApplicable() : valid(known);
+            connection.send(renewal(answer).setCorrelationId(frame.getCorrelationId()).build());
+        }
+
+        private static RenewAnswer.Builder halfApplicable() {
+            LogEntry.Builder entry =
+                    LogEntry.newBuilder()
+                            .setVersion(4)
+                            .addChanges(Change.newBuilder().setAccountPut(OTHER_ACCOUNT))
+                            .addChanges(Change.newBuilder());
+            return granted().setConfigVersion(4).addEntries(entry);
+        }
+    }
+
+    @Test
+    void anEntryThatFailsHalfWayLeavesNoneOfItsChanges() throws Exception {
+        EntryFailingControl fake = new EntryFailingControl();
+        try (FrameServer control = new FrameServer(HOST, 0, fake)) {
+            ProxySettings settings = settings(control);
+            Directory directory = new Directory(settings);
+            Kernel kernel = kernel(new ControlLink(settings, directory, MemberScope.ENDPOINTS));
+            kernel.start();
+            try {
+                awaitTrue(() -> fake.renewalsOfVersion3.get() > 2, "renewals ended");
+                awaitConfiguration(kernel, directory);
+            } finally {
+                kernel.stop();
+            }
+        }
+    }
+
     private ProxySettings settings(FrameServer control) throws Exception {
         Path file = folder.resolve("proxy.toml");
         Files.writeString(
