Keep a session's last commit for each group

A session that had committed was served by the primary only, and got LAGGING or BUSY while there was none, after a configuration had moved its route to another service: replicas of the new service were asked for a position of the old one's log, which they may never reach.

Cause: SessionState held one position for the session, whichever group it came from, and the higher term won.

The position is kept for the group of the route on which the commit was made; a session whose route moves back demands its commit there again. A service that was removed and returned keeps its group's position, since its log may be the same one and a read must not miss the commit.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/PlacementSelector.java
@@ -122,7 +122,7 @@
      * Returns the best placement for a read, or null while there is none.
      *
      * @param account the client account, which may restrict the regions
-     * @param lastCommit the position of the session's last commit
+     * @param lastCommit the position of the session's last commit in the route's group
      * @param excluded endpoints to leave out, where the read has failed
      * @param statement identifies the read in requests for tokens
      */
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionContext.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionContext.java
@@ -14,7 +14,7 @@
  * @param account the client account that it runs for
  * @param route the route from the caller's database name to a database
  * @param settings the session's settings by name
- * @param lastCommit the position of the session's last commit
+ * @param lastCommit the position of the session's last commit in the route's group
  * @param callerHasLeft tells whether nobody waits for the outcome any more
  */
 record SessionContext(
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionState.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/SessionState.java
@@ -2,18 +2,22 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.chivevale.core.config.Route;
+import org.chivevale.core.group.GroupId;
 import org.chivevale.core.group.TermPosition;
 import org.chivevale.core.interactive.Statement.Prepared;
 
 /**
- * The state of a session that lasts between statements: settings, prepared statements, last commit.
+ * The state of a session that lasts between statements: settings, prepared statements, last
+ * commits.
  *
- * <p>Invariant: the position of the last commit never decreases. Not thread safe.
+ * <p>Invariant: the position of the last commit in a group never decreases; each group has a log of
+ * its own. Not thread safe.
  */
 public final class SessionState {
     private final Map<String, String> settings = new HashMap<>();
     private final Map<String, Prepared> prepared = new HashMap<>();
-    private TermPosition lastCommit = TermPosition.NONE;
+    private final Map<GroupId, TermPosition> lastCommits = new HashMap<>();
     private boolean callerHasLeft;
 
     /** Records that no result can be delivered to the caller any more. */
@@ -77,20 +81,22 @@
     /**
      * Records a commit of the session.
      *
+     * @param route the route on which it was made
      * @param position the commit's log position; null when unknown
      */
-    public void recordCommit(TermPosition position) {
+    public void recordCommit(Route route, TermPosition position) {
         if (position != null) {
-            lastCommit = lastCommit.max(position);
+            lastCommits.merge(PlacementSelector.groupOf(route), position, TermPosition::max);
         }
     }
 
     /**
-     * Returns the position of the session's last commit.
+     * Returns the position of the session's last commit in the group of a route.
      *
-     * @return the least position that a read of the session must see
+     * @param route the route of a read
+     * @return the least position that the read must see; before every commit when there was none
      */
-    public TermPosition lastCommit() {
-        return lastCommit;
+    public TermPosition lastCommit(Route route) {
+        return lastCommits.getOrDefault(PlacementSelector.groupOf(route), TermPosition.NONE);
     }
 }
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/StatementExecutor.java
@@ -89,7 +89,11 @@
                         primaryOnly);
         SessionContext context =
                 new SessionContext(
-                        account, route, state.settings(), state.lastCommit(), state::callerHasLeft);
+                        account,
+                        route,
+                        state.settings(),
+                        state.lastCommit(route),
+                        state::callerHasLeft);
         StatementExecution.onAnyEndpoint(
                         engine,
                         operation,
@@ -124,7 +128,7 @@
                         transaction.accountId(),
                         transaction.route(),
                         state.settings(),
-                        state.lastCommit(),
+                        state.lastCommit(transaction.route()),
                         state::callerHasLeft);
         transaction.execute(
                 operation, context, outcome -> done.accept(toResult(outcome, startedNanos)));
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -192,7 +192,7 @@
                 result -> {
                     service.recordResult(id, host, account, route, statement, result);
                     if (writes && result.error() == null) {
-                        state.recordCommit(result.position());
+                        state.recordCommit(route, result.position());
                     }
                     sendResult(result, TransactionState.NONE);
                 });
@@ -290,7 +290,7 @@
                             new Statement.Commit(),
                             result);
                     if (result.error() == null && committing.hasWritten()) {
-                        state.recordCommit(result.position());
+                        state.recordCommit(committing.route(), result.position());
                     }
                     committing.releaseAfterCommit(result.transaction() == TransactionState.NONE);
                     transaction = null;
