Forget freshness samples of a log that started anew

Reads of a service whose log started anew at a lower position, as after its removal and return, went to the primary only for as long as the proxy ran, and found no endpoint while there was no primary.

Cause: expired samples were removed only after a new one had been added, and a position below the last sample's was never added.

Expired samples are now removed first, so after 10 s the positions of the new log count.

--- a/org.chivevale.core.test/src/test/java/org/chivevale/core/route/FreshnessSamplesProperties.java
+++ b/org.chivevale.core.test/src/test/java/org/chivevale/core/route/FreshnessSamplesProperties.java
@@ -1,5 +1,6 @@
 package org.chivevale.core.route;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -48,6 +49,17 @@
         }
     }
 
+    @Example
+    void samplesOfALogThatStartsAnewCountOnceThoseOfTheOldLogHaveExpired() {
+        FreshnessSamples samples = new FreshnessSamples();
+        samples.add(0, new TermPosition(7, 1207));
+        long newNanos = 11_000 * NANOS_PER_MILLI;
+        samples.add(newNanos, new TermPosition(1, 1));
+        assertEquals(
+                new TermPosition(1, 1),
+                samples.requiredPosition(newNanos, 1_000 * NANOS_PER_MILLI));
+    }
+
     @Example
     void withoutARecentSampleThereIsNoRequiredPosition() {
         FreshnessSamples samples = new FreshnessSamples();
--- a/org.chivevale.core/src/main/java/org/chivevale/core/route/FreshnessSamples.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/route/FreshnessSamples.java
@@ -21,12 +21,14 @@
     private record Sample(long queriedAtNanos, TermPosition position) {}
 
     /**
-     * Adds a sample, unless it is too close to the last one or older.
+     * Adds a sample, unless it is too close to the last one or older; in a log that starts anew,
+     * positions count once the samples of the old log have expired.
      *
      * @param queriedAtNanos a time before the query was sent
      * @param position the position in the primary's response
      */
     public void add(long queriedAtNanos, TermPosition position) {
+        removeExpired(queriedAtNanos);
         Sample last = samples.peekLast();
         boolean isRedundant =
                 last != null
@@ -36,7 +38,11 @@
             return;
         }
         samples.addLast(new Sample(queriedAtNanos, position));
-        while (queriedAtNanos - samples.peekFirst().queriedAtNanos() > RETENTION_NANOS) {
+    }
+
+    private void removeExpired(long nowNanos) {
+        while (!samples.isEmpty()
+                && nowNanos - samples.peekFirst().queriedAtNanos() > RETENTION_NANOS) {
             samples.removeFirst();
         }
     }
