Log when a configuration comes into force at a proxy

A change that is not in force in time could not be traced: a proxy wrote nothing when it took a version, and its lease lines did not say under which version it served.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -205,7 +205,11 @@
         boolean leased = directory.isLeased(nowNanos);
         if (leased != wasLeased) {
             wasLeased = leased;
-            LOG.infof("fleet lease %s", leased ? "held" : "lost");
+            LOG.infof(
+                    "fleet lease %s: configuration %d, log version %d",
+                    leased ? "held" : "lost",
+                    directory.configuration().desiredVersion(),
+                    directory.configuration().version());
         }
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -75,6 +75,7 @@
         fencing.clear();
         proxyCount = answer.getProxyCount();
         long versionBefore = configuration.version();
+        long desiredBefore = configuration.desiredVersion();
         // A proxy that was without a lease learns of an evacuation late: its open transactions end
         // as if it had learned of it when its lease expired.
         long learnedAtNanos = lease.lastValidNanos(EventLoop.nowNanos());
@@ -86,6 +87,13 @@
         if (configuration.version() >= answer.getConfigVersion()) {
             lease.onGranted(sentAtNanos, answer.getLeaseMillis() * NANOS_PER_MILLI);
         }
+        if (desiredBefore != configuration.desiredVersion()) {
+            LOG.infof(
+                    "configuration %d in force here: log version %d, renewal %d ms old",
+                    configuration.desiredVersion(),
+                    configuration.version(),
+                    (EventLoop.nowNanos() - sentAtNanos) / NANOS_PER_MILLI);
+        }
         if (versionBefore != configuration.version() || answer.getMembersIncluded()) {
             listeners.forEach(Runnable::run);
         }
