--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/Directory.java
@@ -64,8 +64,9 @@
     }
 
     /**
-     * Applies a granted renewal: first configuration and members, then the lease. Drops the lease
-     * and fails if the configuration cannot be applied.
+     * Applies a granted renewal: first configuration and members, then the lease. If the
+     * configuration cannot be applied, drops it with the lease and fails, so that the next renewal
+     * brings a whole one.
      *
      * @param answer the response
      * @param sentAtNanos when the request was sent, on the monotonic clock
@@ -74,6 +75,7 @@
         fencing.clear();
         proxyCount = answer.getProxyCount();
         long versionBefore = configuration.version();
+        long desiredBefore = configuration.desiredVersion();
         // A proxy that was without a lease learns of an evacuation late: its open transactions end
         // as if it had learned of it when its lease expired.
         long learnedAtNanos = lease.lastValidNanos(EventLoop.nowNanos());
@@ -85,6 +87,13 @@
         if (configuration.version() >= answer.getConfigVersion()) {
             lease.onGranted(sentAtNanos, answer.getLeaseMillis() * NANOS_PER_MILLI);
         }
+        if (desiredBefore != configuration.desiredVersion()) {
+            LOG.infof(
+                    "configuration %d in force here: log version %d, renewal %d ms old",
+                    configuration.desiredVersion(),
+                    configuration.version(),
+                    (EventLoop.nowNanos() - sentAtNanos) / NANOS_PER_MILLI);
+        }
         if (versionBefore != configuration.version() || answer.getMembersIncluded()) {
             listeners.forEach(Runnable::run);
         }
@@ -98,6 +107,7 @@
             answer.getEntriesList().forEach(configuration::apply);
         } catch (RuntimeException e) {
             lease.drop();
+            configuration.clear();
             throw e;
         }
     }
