Refuse configurations that no frame can carry

What callers would see: a configuration whose tenant has a name of 1,000 characters and 20,000 keys is acknowledged, but its log entry has more than 20,000,000 bytes. Frames end at 16 MiB: the proxies' connections to control are closed at each renewal, and so would those between control processes be.

Cause: the body is limited to 8 MiB, what is stored of it was not; each key is stored with its tenant's name. Likewise control sends a proxy that is behind all of up to 2,000 retained entries in one frame, and retains the source with each: by reading, 370 KB times each change at 1,000 routes and 600 accounts.

The newest is always retained, so that listeners see each change.

Not reproduced: configurations of 6,000 such keys that replace each other, and 1,000 routes with 600 accounts replaced twice in a row, reach the proxy; 24 concurrent calls of three versions of that size are all acknowledged, the same number with other content changes nothing.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ControlState.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ControlState.java
@@ -22,8 +22,12 @@
 public final class ControlState implements StateMachine {
     private static final int MAX_RECENT_ENTRIES = 2000;
 
+    /** The entries that are retained are sent in one frame; a larger one is retained alone. */
+    private static final long MAX_RECENT_BYTES = 8L << 20;
+
     private final Configuration configuration = new Configuration();
     private final Deque<LogEntry> recentEntries = new ArrayDeque<>();
+    private long recentBytes;
     private final List<Runnable> listeners = new ArrayList<>();
     private boolean isLeader;
     private long term;
@@ -50,14 +54,20 @@
             return false;
         }
         configuration.apply(entry);
-        recentEntries.addLast(entry);
-        if (recentEntries.size() > MAX_RECENT_ENTRIES) {
-            recentEntries.removeFirst();
-        }
+        retain(entry);
         listeners.forEach(Runnable::run);
         return true;
     }
 
+    private void retain(LogEntry entry) {
+        recentEntries.addLast(entry);
+        recentBytes += entry.getSerializedSize();
+        while (recentEntries.size() > MAX_RECENT_ENTRIES
+                || recentEntries.size() > 1 && recentBytes > MAX_RECENT_BYTES) {
+            recentBytes -= recentEntries.removeFirst().getSerializedSize();
+        }
+    }
+
     @Override
     public byte[] snapshot() {
         return configuration.snapshot(false).toByteArray();
@@ -72,6 +82,7 @@
                     ResultCode.STORE_DAMAGED, "the snapshot cannot be decoded");
         }
         recentEntries.clear();
+        recentBytes = 0;
         listeners.forEach(Runnable::run);
     }
 
--- a/org.chivevale.core/src/main/java/org/chivevale/core/config/DesiredConfiguration.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/config/DesiredConfiguration.java
@@ -1,6 +1,7 @@
 package org.chivevale.core.config;
 
 import java.util.List;
+import org.chivevale.wire.proto.Change;
 
 /**
  * A complete configuration with which an operator replaces the one in force.
@@ -23,10 +24,26 @@
         List<StoredKey> keys,
         SessionLimits limits,
         byte[] source) {
+    /**
+     * Maximum of {@link #storedBytes}. An entry of the log that replaces a configuration of this
+     * size by another, and a snapshot of one, fit in a frame between processes.
+     */
+    public static final int MAX_STORED_BYTES = 7 << 20;
+
     public DesiredConfiguration {
         routes = List.copyOf(routes);
         databases = List.copyOf(databases);
         accounts = List.copyOf(accounts);
         keys = List.copyOf(keys);
     }
+
+    /**
+     * Returns how much the configuration takes in the log and in a snapshot.
+     *
+     * @return the size of its source and of all that was decoded, in bytes
+     */
+    public long storedBytes() {
+        return new ConfigurationDiff(new Configuration(), this)
+                .computeChanges().stream().mapToLong(Change::getSerializedSize).sum();
+    }
 }
