--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -79,15 +79,19 @@
                 .onSuccess(
                         version ->
                                 LOG.infof(
-                                        "configuration %d taken: %s, log version %d",
+                                        "configuration %d of %d bytes acknowledged: %s,"
+                                                + " log version %d",
                                         desired.version(),
+                                        desired.source().length,
                                         version == 0 ? "a newer one is in force" : "in force",
                                         version))
                 .onFailure(
                         failure ->
                                 LOG.warnf(
-                                        "configuration %d not taken: %s",
-                                        desired.version(), failure.getMessage()))
+                                        "configuration %d of %d bytes not acknowledged: %s",
+                                        desired.version(),
+                                        desired.source().length,
+                                        failure.getMessage()))
                 .mapEmpty();
     }
 
