Lead a new log only once it has its voters

What operators would see: no leader for ever, or a lost first configuration, when two disks are lost right after the first configuration was acknowledged, though two may be lost.

Cause: the three seeds are the first voters, and the leader took changes at once. Until the other members had become voters, an entry was held by two of three, and the loss of two voters' disks left no majority.

Change: the first leader of a new log holds its lease only once there are as many voters as wanted, or no further member has asked to join within 500 ms of the election; 3 s after the formation it no longer waits. Later elections are not affected. Replacing a voter needs no such rule: of four voters three hold each entry, and the properties that wipe two disks in a row cover it.

isLeader is now true only after the state machine was told that it leads, since the lease can begin without an answer from a follower.

Not measured with real processes.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Leadership.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Leadership.java
@@ -19,13 +19,20 @@
  * The leader's side of the protocol: replication, the leader lease and membership changes.
  *
  * <p>Invariants: the leader holds its lease only while a majority has answered within the lease
- * period and an entry of its own term is committed; the membership changes one member at a time,
- * and only after that entry and the previous change are committed. Not thread safe.
+ * period and an entry of its own term is committed, and not before a new log has formed; the
+ * membership changes one member at a time, and only after that entry and the previous change are
+ * committed. Not thread safe.
  */
 final class Leadership {
     private static final Logger LOG = Logger.getLogger(Leadership.class);
     private static final long SNAPSHOT_RESEND_NANOS = 1_000_000_000;
 
+    /** Time in which new members ask the leader of a new log several times to join. */
+    private static final long FIRST_JOIN_NANOS = 500_000_000;
+
+    /** A new log takes no changes for so long at most, if a new member does not catch up. */
+    private static final long MAX_FORMATION_NANOS = 3_000_000_000L;
+
     private final RaftNode node;
     private final RaftLog log;
     private final RaftTiming timing;
@@ -76,6 +83,7 @@
             node.onQuorumLost();
             return;
         }
+        reportLeadership();
         if (nowNanos - lastSentNanos >= timing.heartbeatNanos()) {
             replicate();
             proposeMembershipChange(nowNanos);
@@ -164,14 +172,37 @@
         }
     }
 
+    /** True once the state machine knows that this member leads. */
+    boolean isReported() {
+        return leadershipReported;
+    }
+
     /**
-     * True while a majority has answered within the lease and an entry of this term is committed.
+     * True while a majority has answered within the lease and an entry of this term is committed;
+     * false while the log forms.
      */
     boolean holdsLease(long nowNanos) {
-        return node.applier().commitIndex() >= firstIndexOfTerm
+        return !isForming(nowNanos)
+                && node.applier().commitIndex() >= firstIndexOfTerm
                 && hasMajorityAnsweredSince(nowNanos - timing.leaseNanos());
     }
 
+    /**
+     * True while a new log has fewer voters than wanted and may get more.
+     *
+     * <p>What is acknowledged then would not survive the loss of as many disks as later.
+     */
+    private boolean isForming(long nowNanos) {
+        Participants now = log.participants();
+        boolean mayGrow =
+                nowNanos - electedNanos < FIRST_JOIN_NANOS
+                        || now.getLearnersCount() > 0
+                        || !now.getVotersList().containsAll(joinRequests.keySet());
+        return node.hasFormedLogSince(nowNanos - MAX_FORMATION_NANOS)
+                && now.getVotersCount() < timing.voters()
+                && mayGrow;
+    }
+
     private boolean hasMajorityAnsweredSince(long nanos) {
         List<String> voters = log.participants().getVotersList();
         int answered = 0;
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -72,6 +72,8 @@
     private long processStartNanos;
     private boolean isLeaderAgain;
     private long electionBackoffNanos = INITIAL_BACKOFF_NANOS;
+    private boolean hasFormedLog;
+    private long formedNanos;
     private boolean closed;
 
     /**
@@ -138,6 +140,8 @@
 
     /** Makes this member one of the initial voters of a log that all of them form. */
     void becomeVoter(Formation formed) {
+        hasFormedLog = true;
+        formedNanos = now();
         store.adoptStoreId(formed.storeId());
         self = new MemberId(self.address(), formed.storeId());
         selfText = self.toString();
@@ -423,7 +427,7 @@
 
     @Override
     public boolean isLeader() {
-        return role == Role.LEADER && leadership.holdsLease(now());
+        return role == Role.LEADER && leadership.isReported() && leadership.holdsLease(now());
     }
 
     @Override
@@ -479,6 +483,11 @@
         return leader;
     }
 
+    /** True if this member became a voter of a new log at that time or later. */
+    boolean hasFormedLogSince(long nanos) {
+        return hasFormedLog && formedNanos - nanos >= 0;
+    }
+
     void transmit(HostPort to, RaftMessage message) {
         transport.send(to, message);
     }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -322,6 +322,27 @@
         }
     }
 
+    /** Loses two disks, then also all processes, at the moment of each of the first entries. */
+    @Property(tries = 200, seed = "20261206")
+    void theFirstAcknowledgedEntriesSurviveTheLossOfTwoDisks(@ForAll long seed) {
+        RaftSimulation simulation = new RaftSimulation(seed);
+        simulation.add(5);
+        simulation.members.forEach(member -> member.start(true));
+        int entries = 1 + simulation.random.nextInt(3);
+        for (int i = 0; i < 500 && simulation.acknowledged.size() < entries; i++) {
+            simulation.propose();
+            simulation.run(10);
+        }
+        List<Member> order = new ArrayList<>(simulation.members);
+        Collections.shuffle(order, simulation.random);
+        if (simulation.random.nextBoolean()) {
+            order.forEach(Member::kill);
+        }
+        order.subList(0, DISKS_THAT_MAY_BE_LOST).forEach(Member::wipe);
+        simulation.run(simulation.random.nextInt(500));
+        simulation.repairAndVerify();
+    }
+
     @Property(tries = 100, seed = "20261204")
     void aNewMemberReplacesAVoterThatIsLostForGood(@ForAll long seed) {
         RaftSimulation simulation = formedCluster(seed);
