End the requests of members that are no longer new

What operators would see: two control processes that lost their folders and bootstrap again send join requests to each other without end, at the speed of the network.

Members that had joined another log in the meantime stayed missing for each other.

Evidence: the property on wiped members now also bounds the messages of a quiet second.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Joining.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Joining.java
@@ -85,7 +85,8 @@
             node.send(member, node.message().setJoinAnswer(answer));
         }
         HostPort address = MemberId.parse(member).address();
-        if (formation != null && formation.isMissing(address)) {
+        boolean areNew = node.isNew() && request.getTerm() == 0;
+        if (areNew && formation != null && formation.isMissing(address)) {
             node.transmit(address, request());
         }
     }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -17,6 +17,9 @@
 class RaftProperties {
     private static final int DISKS_THAT_MAY_BE_LOST = 2;
 
+    /** Several times the heartbeats of a leader to four members, with their answers. */
+    private static final int MAX_MESSAGES_IN_A_QUIET_SECOND = 500;
+
     /** The lease margin bears a relative drift of 0.2 between two clocks. */
     private static final double CLOCK_DRIFT = 0.05;
 
@@ -319,6 +322,10 @@
             }
             simulation.run(simulation.random.nextInt(1_500));
             simulation.repairAndVerify();
+            int before = simulation.sentMessages;
+            simulation.run(1_000);
+            int sent = simulation.sentMessages - before;
+            assertTrue(sent < MAX_MESSAGES_IN_A_QUIET_SECOND, sent + " messages");
         }
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -46,6 +46,9 @@
     private long order;
     private int proposals;
 
+    /** Messages that members have sent so far. */
+    int sentMessages;
+
     /** Proposals without a result so far. */
     int unanswered;
 
@@ -210,6 +213,7 @@
     }
 
     private void transmit(HostPort from, HostPort to, RaftMessage message) {
+        sentMessages++;
         if (random.nextDouble() < lossShare) {
             return;
         }
