Log what a read of the configuration shows, and its term

A report that a configuration came back older could not be traced: a read left no line, and the line of an acknowledgement named no term. Compiled and covered by no test; grants that bring a version still have no line.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/deployment/DeploymentService.java
@@ -19,6 +19,7 @@
 import org.chivevale.core.group.GroupId;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
+import org.chivevale.process.EventLoop;
 import org.jboss.logging.Logger;
 
 /**
@@ -36,10 +37,13 @@
     private static final Logger LOG = Logger.getLogger(DeploymentService.class);
     private static final String OPERATOR = "deployment";
     private static final int ONLY_SLOT = 0;
+    private static final long READ_LOG_INTERVAL_NANOS = 100_000_000;
 
     private LogService log;
     private EndpointRegistry endpoints;
     private KnownDataCenters dataCenters;
+    private long lastReadLoggedNanos = EventLoop.nowNanos() - READ_LOG_INTERVAL_NANOS;
+    private long unloggedReads;
 
     @Override
     public void start(Kernel kernel) {
@@ -79,10 +83,11 @@
                 .onSuccess(
                         version ->
                                 LOG.infof(
-                                        "configuration %d taken: %s, log version %d",
+                                        "configuration %d taken: %s, log version %d, term %d",
                                         desired.version(),
                                         version == 0 ? "a newer one is in force" : "in force",
-                                        version))
+                                        version,
+                                        log.state().term()))
                 .onFailure(
                         failure ->
                                 LOG.warnf(
@@ -101,9 +106,25 @@
         if (!log.isLeader()) {
             throw new ChivevaleException(ResultCode.NOT_LEADER, "the leader is " + log.leader());
         }
+        logRead();
         return log.state().configuration().desired().getSource().toByteArray();
     }
 
+    /** Writes a line for a read, but at most one in {@link #READ_LOG_INTERVAL_NANOS}. */
+    private void logRead() {
+        long now = EventLoop.nowNanos();
+        if (now - lastReadLoggedNanos < READ_LOG_INTERVAL_NANOS) {
+            unloggedReads++;
+            return;
+        }
+        lastReadLoggedNanos = now;
+        Configuration read = log.state().configuration();
+        LOG.infof(
+                "configuration %d read: log version %d, term %d, %d reads before without a line",
+                read.desiredVersion(), read.version(), log.state().term(), unloggedReads);
+        unloggedReads = 0;
+    }
+
     /**
      * Adds data centres that the adapter's settings list, so that orders may name them.
      *
