End each proposal, also when its entry cannot be applied

What callers would see: changes without an answer, and after a change of leader an older state, once an entry or a listener of the configuration has failed.

Causes, of one class (an exception between the commit of an entry and the answer to its proposal): - Applier let the exception out. The proposal never ended, so LogService took no further one, and committed entries behind it stayed unapplied, while the lease depends on the commit index alone. - A listener of ControlState that fails did the same, though the configuration was applied. - A proposal whose builder throws anything but a ChivevaleException never ended. - Proposals that wait were ended by recursion, which overflows the stack when many wait.

Change: an entry that fails ends with FAILED and is logged, and the next one is applied; listeners are run one by one; the queue is a loop. An entry that fails half way still leaves a half applied configuration, the same in each process.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/ReplicatedLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/ReplicatedLog.java
@@ -18,6 +18,8 @@
         APPLIED,
         /** The entry is committed but had no effect: an earlier entry superseded it. */
         SUPERSEDED,
+        /** The entry is committed but could not be applied. */
+        FAILED,
         /**
          * This process is not the leader or lost leadership; the entry may still be committed
          * later.
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Applier.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Applier.java
@@ -76,12 +76,21 @@
 
     private void apply(StoredEntry entry) {
         appliedIndex = entry.getIndex();
-        boolean effective =
-                entry.getPayload().isEmpty()
-                        || machine.apply(entry.getIndex(), entry.getPayload().toByteArray());
+        AppendResult result = entry.getPayload().isEmpty() ? AppendResult.APPLIED : run(entry);
         Consumer<AppendResult> done = waitingAppends.remove(entry.getIndex());
         if (done != null) {
-            done.accept(effective ? AppendResult.APPLIED : AppendResult.SUPERSEDED);
+            done.accept(result);
+        }
+    }
+
+    /** Applies an entry; one that fails, as it does in every process, must not stop later ones. */
+    private AppendResult run(StoredEntry entry) {
+        try {
+            boolean effective = machine.apply(entry.getIndex(), entry.getPayload().toByteArray());
+            return effective ? AppendResult.APPLIED : AppendResult.SUPERSEDED;
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "entry %d cannot be applied", entry.getIndex());
+            return AppendResult.FAILED;
         }
     }
 
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ControlState.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ControlState.java
@@ -11,6 +11,7 @@
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.wire.proto.ConfigurationSnapshot;
 import org.chivevale.wire.proto.LogEntry;
+import org.jboss.logging.Logger;
 
 /**
  * The state machine of the replicated log: the configuration, and its newest entries for proxies
@@ -20,6 +21,7 @@
  * two entries built from the same version the second has no effect. Used on the event loop.
  */
 public final class ControlState implements StateMachine {
+    private static final Logger LOG = Logger.getLogger(ControlState.class);
     private static final int MAX_RECENT_ENTRIES = 2000;
 
     private final Configuration configuration = new Configuration();
@@ -54,10 +56,21 @@
         if (recentEntries.size() > MAX_RECENT_ENTRIES) {
             recentEntries.removeFirst();
         }
-        listeners.forEach(Runnable::run);
+        runListeners();
         return true;
     }
 
+    /** Runs all listeners; what is applied is in force, also where one of them fails. */
+    private void runListeners() {
+        for (Runnable listener : listeners) {
+            try {
+                listener.run();
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "a listener failed at version %d", configuration.version());
+            }
+        }
+    }
+
     @Override
     public byte[] snapshot() {
         return configuration.snapshot(false).toByteArray();
@@ -72,14 +85,14 @@
                     ResultCode.STORE_DAMAGED, "the snapshot cannot be decoded");
         }
         recentEntries.clear();
-        listeners.forEach(Runnable::run);
+        runListeners();
     }
 
     @Override
     public void onLeadershipChange(boolean nowLeader, long newTerm) {
         isLeader = nowLeader;
         term = newTerm;
-        listeners.forEach(Runnable::run);
+        runListeners();
     }
 
     /**
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -62,6 +62,7 @@
     private EventLoop loop;
     private FrameTransport transport;
     private boolean appending;
+    private boolean isTakingProposals;
     private boolean storeFailing;
 
     /** Builds the changes of an entry once its proposal is first in the queue. */
@@ -288,16 +289,29 @@
         return done.future();
     }
 
+    /** Appends the next proposals; a nested call leaves them to the loop of the outer one. */
     private void appendNext() {
-        if (appending || proposals.isEmpty()) {
+        if (isTakingProposals) {
             return;
         }
-        Proposal proposal = proposals.removeFirst();
+        isTakingProposals = true;
+        try {
+            while (!appending && !proposals.isEmpty()) {
+                tryAppend(proposals.removeFirst());
+            }
+        } finally {
+            isTakingProposals = false;
+        }
+    }
+
+    private void tryAppend(Proposal proposal) {
         try {
             append(proposal);
         } catch (ChivevaleException e) {
             proposal.done().fail(e);
-            appendNext();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "a proposal of '%s' failed", proposal.operator());
+            proposal.done().fail(e);
         }
     }
 
@@ -308,7 +322,6 @@
         List<Change> changes = proposal.changeBuilder().buildChanges(state.configuration());
         if (changes.isEmpty()) {
             proposal.done().complete(0L);
-            appendNext();
             return;
         }
         LogEntry entry =
@@ -338,6 +351,14 @@
                                     new ChivevaleException(
                                             ResultCode.VERSION_CONFLICT,
                                             "version " + entry.getVersion() + " was superseded"));
+            case FAILED ->
+                    proposal.done()
+                            .fail(
+                                    new ChivevaleException(
+                                            ResultCode.INTERNAL,
+                                            "version "
+                                                    + entry.getVersion()
+                                                    + " could not be applied"));
             default ->
                     proposal.done()
                             .fail(
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -161,6 +161,18 @@
         assertTrue(ledAgain >= 50, ledAgain + " of 100");
     }
 
+    /** An entry that failed kept later ones, already committed, from reads. */
+    @Example
+    void anEntryThatCannotBeAppliedEndsAndHoldsUpNoLaterOne() {
+        RaftSimulation simulation = formedCluster(1);
+        simulation.propose(simulation.leader(), RaftSimulation.UNREADABLE);
+        simulation.propose();
+        simulation.run(100);
+        assertEquals(0, simulation.unanswered);
+        assertEquals(1, simulation.acknowledged.size());
+        simulation.repairAndVerify();
+    }
+
     @Property(tries = 400, seed = "20261204")
     void noAcknowledgedEntryIsLostUnderCrashesPartitionsAndPauses(@ForAll long seed) {
         RaftSimulation simulation = formedCluster(seed);
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -25,6 +25,10 @@
 final class RaftSimulation {
     static final long MILLI = 1_000_000;
     private static final int SNAPSHOT_EVERY = 15;
+
+    /** Values with this prefix fail when they are applied. */
+    static final String UNREADABLE = "unreadable";
+
     private static final int MAX_LATE_MILLIS = 5_000;
     static final RaftTiming TIMING = new RaftTiming(120, 600, 1000, 100, 1500, 5);
 
@@ -164,6 +168,9 @@
         @Override
         public boolean apply(long index, byte[] payload) {
             String text = new String(payload, StandardCharsets.UTF_8);
+            if (text.startsWith(UNREADABLE)) {
+                throw new IllegalStateException("'" + text + "' cannot be applied");
+            }
             String before = committedByIndex.putIfAbsent(index, text);
             if (before != null && !before.equals(text)) {
                 throw new AssertionError(
