--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ControlState.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/ControlState.java
@@ -11,6 +11,7 @@
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.wire.proto.ConfigurationSnapshot;
 import org.chivevale.wire.proto.LogEntry;
+import org.jboss.logging.Logger;
 
 /**
  * The state machine of the replicated log: the configuration, and its newest entries for proxies
@@ -20,6 +21,7 @@
  * two entries built from the same version the second has no effect. Used on the event loop.
  */
 public final class ControlState implements StateMachine {
+    private static final Logger LOG = Logger.getLogger(ControlState.class);
     private static final int MAX_RECENT_ENTRIES = 2000;
 
     /** The entries that are retained are sent in one frame; a larger one is retained alone. */
@@ -55,7 +57,7 @@
         }
         configuration.apply(entry);
         retain(entry);
-        listeners.forEach(Runnable::run);
+        runListeners();
         return true;
     }
 
@@ -68,6 +70,17 @@
         }
     }
 
+    /** Runs all listeners; what is applied is in force, also where one of them fails. */
+    private void runListeners() {
+        for (Runnable listener : listeners) {
+            try {
+                listener.run();
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "a listener failed at version %d", configuration.version());
+            }
+        }
+    }
+
     @Override
     public byte[] snapshot() {
         return configuration.snapshot(false).toByteArray();
@@ -83,14 +96,14 @@
         }
         recentEntries.clear();
         recentBytes = 0;
-        listeners.forEach(Runnable::run);
+        runListeners();
     }
 
     @Override
     public void onLeadershipChange(boolean nowLeader, long newTerm) {
         isLeader = nowLeader;
         term = newTerm;
-        listeners.forEach(Runnable::run);
+        runListeners();
     }
 
     /**
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -17,6 +17,9 @@
 class RaftProperties {
     private static final int DISKS_THAT_MAY_BE_LOST = 2;
 
+    /** Several times the heartbeats of a leader to four members, with their answers. */
+    private static final int MAX_MESSAGES_IN_A_QUIET_SECOND = 500;
+
     /** The lease margin bears a relative drift of 0.2 between two clocks. */
     private static final double CLOCK_DRIFT = 0.05;
 
@@ -158,6 +161,18 @@
         assertTrue(ledAgain >= 50, ledAgain + " of 100");
     }
 
+    /** An entry that failed kept later ones, already committed, from reads. */
+    @Example
+    void anEntryThatCannotBeAppliedEndsAndHoldsUpNoLaterOne() {
+        RaftSimulation simulation = formedCluster(1);
+        simulation.propose(simulation.leader(), RaftSimulation.UNREADABLE);
+        simulation.propose();
+        simulation.run(100);
+        assertEquals(0, simulation.unanswered);
+        assertEquals(1, simulation.acknowledged.size());
+        simulation.repairAndVerify();
+    }
+
     @Property(tries = 400, seed = "20261204")
     void noAcknowledgedEntryIsLostUnderCrashesPartitionsAndPauses(@ForAll long seed) {
         RaftSimulation simulation = formedCluster(seed);
@@ -319,9 +334,34 @@
             }
             simulation.run(simulation.random.nextInt(1_500));
             simulation.repairAndVerify();
+            int before = simulation.sentMessages;
+            simulation.run(1_000);
+            int sent = simulation.sentMessages - before;
+            assertTrue(sent < MAX_MESSAGES_IN_A_QUIET_SECOND, sent + " messages");
         }
     }
 
+    /** Loses two disks, then also all processes, at the moment of each of the first entries. */
+    @Property(tries = 200, seed = "20261206")
+    void theFirstAcknowledgedEntriesSurviveTheLossOfTwoDisks(@ForAll long seed) {
+        RaftSimulation simulation = new RaftSimulation(seed);
+        simulation.add(5);
+        simulation.members.forEach(member -> member.start(true));
+        int entries = 1 + simulation.random.nextInt(3);
+        for (int i = 0; i < 500 && simulation.acknowledged.size() < entries; i++) {
+            simulation.propose();
+            simulation.run(10);
+        }
+        List<Member> order = new ArrayList<>(simulation.members);
+        Collections.shuffle(order, simulation.random);
+        if (simulation.random.nextBoolean()) {
+            order.forEach(Member::kill);
+        }
+        order.subList(0, DISKS_THAT_MAY_BE_LOST).forEach(Member::wipe);
+        simulation.run(simulation.random.nextInt(500));
+        simulation.repairAndVerify();
+    }
+
     @Property(tries = 100, seed = "20261204")
     void aNewMemberReplacesAVoterThatIsLostForGood(@ForAll long seed) {
         RaftSimulation simulation = formedCluster(seed);
