Give the lease up when stopping during a renewal

After a planned stop, changes and failovers could wait for up to a lease (2.5 s) for a proxy that had ended, and other proxies went on sending it statements to relay.

Cause: ControlLink read from a field that it was stopping and took the answer to a renewal sent before as the answer to its leave, which it then never sent.

A renewal carries whether it says that the proxy leaves; an answer to an earlier one is followed by the leave at once.

Evidence: before, "the proxy has not told control that it leaves ==> expected: <true> but was: <false>"; ControlLinkTest (4) passes now.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -86,7 +86,7 @@
     private Consumer<RateAnswer> rateCallback;
 
     /** A renewal that was sent. */
-    private record Renewal(long correlationId, long sentAtNanos) {}
+    private record Renewal(long correlationId, long sentAtNanos, boolean isLeaving) {}
 
     /**
      * Creates the link.
@@ -260,7 +260,7 @@
 
     private void renew(long nowNanos) {
         sequence++;
-        renewal = new Renewal(sequence, nowNanos);
+        renewal = new Renewal(sequence, nowNanos, isStopping);
         responseReceived = false;
         renewAgain = false;
         RenewRequest.Builder request =
@@ -275,7 +275,7 @@
                         .setConfigVersion(directory.configuration().version())
                         .setMembersVersion(directory.membersVersion())
                         .setEndpointsOnly(scope == MemberScope.ENDPOINTS)
-                        .setLeaving(isStopping);
+                        .setLeaving(renewal.isLeaving());
         renewalParticipants.forEach(participant -> participant.addTo(request));
         connection.send(
                 Frame.newBuilder().setCorrelationId(sequence).setRenewRequest(request).build());
@@ -354,9 +354,7 @@
         responseReceived = true;
         renewTimer.record(now - renewal.sentAtNanos(), TimeUnit.NANOSECONDS);
         if (isStopping) {
-            renewal = null;
-            directory.dropLease();
-            onDeregistered.run();
+            leave(now);
             return;
         }
         if (!answer.getGranted()) {
@@ -367,6 +365,19 @@
         applyAfterReplies(renewal, answer, directory.beginFencing(answer), now);
     }
 
+    /**
+     * Ends the lease once control has been told so; an answer to an earlier renewal tells nothing.
+     */
+    private void leave(long nowNanos) {
+        if (renewal.isLeaving()) {
+            renewal = null;
+            directory.dropLease();
+            onDeregistered.run();
+        } else {
+            renew(nowNanos);
+        }
+    }
+
     /**
      * Applies a response to a renewal. A fence first waits up to {@link #FENCE_WAIT_NANOS} for
      * statements in flight at the primary, since their replies do not count afterwards.
--- a/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/proxy/internal/fleet/ControlLinkTest.java
@@ -237,6 +237,43 @@
         }
     }
 
+    /** Holds back its answers after the first until it is told to give them. */
+    private static final class HoldingControl implements FrameListener {
+        private final AtomicInteger renewals = new AtomicInteger();
+        private final CompletableFuture<Void> release = new CompletableFuture<>();
+        private volatile boolean hasLeft;
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            hasLeft |= frame.getRenewRequest().getLeaving();
+            Frame answer =
+                    renewal(valid(frame.getRenewRequest().getConfigVersion()))
+                            .setCorrelationId(frame.getCorrelationId())
+                            .build();
+            if (renewals.incrementAndGet() == 1) {
+                connection.send(answer);
+            } else {
+                release.thenRun(() -> connection.send(answer));
+            }
+        }
+    }
+
+    @Test
+    void aProxyThatStopsWhileARenewalIsInFlightGivesItsLeaseUp() throws Exception {
+        HoldingControl fake = new HoldingControl();
+        try (FrameServer control = new FrameServer(HOST, 0, fake)) {
+            ProxySettings settings = settings(control);
+            Directory directory = new Directory(settings);
+            Kernel kernel = kernel(new ControlLink(settings, directory, MemberScope.ENDPOINTS));
+            kernel.start();
+            awaitTrue(() -> fake.renewals.get() == 2, "no renewal in flight");
+            CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS)
+                    .execute(() -> fake.release.complete(null));
+            kernel.stop();
+            assertTrue(fake.hasLeft, "the proxy has not told control that it leaves");
+        }
+    }
+
     private ProxySettings settings(FrameServer control) throws Exception {
         Path file = folder.resolve("proxy.toml");
         Files.writeString(
