Elect no leader before every initial voter is one

What operators would see: control that never accepts a configuration, after one seed loses its disk while a new log forms and messages are lost.

Cause: each seed completes the formation by itself. Two could complete and elect a leader while the third had only answered; of three voters two were real, and the loss of one of them left no majority. The term of the other kept the third from completing.

Change: a voter of a new log starts no election before it has had a message from each of the others as a voter.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Formation.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Formation.java
@@ -7,7 +7,7 @@
 import org.chivevale.wire.proto.Participants;
 
 /**
- * The formation of a new log by its initial voters.
+ * The formation of a new log by its initial voters, as one of them sees it.
  *
  * <p>Invariant: complete only once every initial voter has said that it is new. A member that has
  * lost its data folder thus never forms a second log beside one that has entries. Not thread safe.
@@ -31,6 +31,11 @@
         return missing.contains(address);
     }
 
+    /** Returns the initial voters that have not said that they are new. */
+    Set<HostPort> missing() {
+        return Set.copyOf(missing);
+    }
+
     boolean isComplete() {
         return missing.isEmpty();
     }
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -255,11 +255,12 @@
         leader = "";
         leaderKnown = false;
         lastElectionNanos = now;
-        if (isVoter(selfText)) {
+        boolean mayElect = isVoter(selfText) && !joining.isForming();
+        if (mayElect) {
             election.start(true, wasLeaderBeforeStart());
         }
         joining.sendRequestsWhenDue(now, timing.electionMinNanos());
-        if (!isVoter(selfText)) {
+        if (!mayElect) {
             scheduleElection();
         }
     }
@@ -296,6 +297,7 @@
     }
 
     private void handle(RaftMessage message) {
+        joining.onMessage(message);
         switch (message.getBodyCase()) {
             case JOIN_REQUEST -> joining.onRequest(message);
             case JOIN_ANSWER -> joining.onAnswer(message);
