Judge a transaction's key only under a lease

What a trace would show: "the key was withdrawn", though the proxy had dropped its configuration with its lease and could not know.

Cause: the key of an open transaction was looked up without a lease as well. The answer was true all the same, since nothing was sent.

Change: without a lease the statement goes the way of all others, which are not sent and name the missing lease.

--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/session/CallerSession.java
@@ -254,9 +254,13 @@
         }
     }
 
-    /** Returns whether the key still stands for the account of the open transaction. */
+    /**
+     * Returns whether the key still stands for the account of the open transaction, as far as is
+     * known: without a lease the configuration tells nothing, and no statement is sent.
+     */
     private boolean isKeyInForce() {
-        return transaction.accountId().equals(findAccount(transaction.route()));
+        return !service.isLeased()
+                || transaction.accountId().equals(findAccount(transaction.route()));
     }
 
     private void commit(String id) {
