--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftProperties.java
@@ -270,11 +270,6 @@
             Member victim = simulation.members.get(simulation.random.nextInt(5));
             switch (simulation.random.nextInt(5)) {
                 case 0 -> restartRepeatedly(simulation, victim);
-                case 2 -> {
-                    cutLeaderFromTwoOthers(simulation);
-                    simulation.run(600 + simulation.random.nextInt(300));
-                    restartRepeatedly(simulation, victim);
-                }
                 case 1 -> {
                     if (disksLost < DISKS_THAT_MAY_BE_LOST) {
                         disksLost++;
@@ -282,6 +277,11 @@
                         victim.start(false);
                     }
                 }
+                case 2 -> {
+                    cutLeaderFromTwoOthers(simulation);
+                    simulation.run(600 + simulation.random.nextInt(300));
+                    restartRepeatedly(simulation, victim);
+                }
                 default -> injectFault(simulation);
             }
             for (int i = 0; i < 3; i++) {
