Write the settings of a single control process once in tests

Cause: LogServiceTest wrote again what EndpointRegistryTest and FleetServiceNonsenseTest had, fifteen arguments each. Change: SingleControl.settings serves the three; the values and all assertions are as before.

--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/EndpointRegistryTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.chivevale.control.ControlSettings;
+import org.chivevale.control.SingleControl;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.group.EndpointId;
 import org.chivevale.core.group.GroupId;
@@ -73,23 +74,7 @@
 
     private void startControl(Meanwhile meanwhile) {
         HostPort anyPort = new HostPort("127.0.0.1", 0);
-        ControlSettings settings =
-                new ControlSettings(
-                        "control-1",
-                        "region",
-                        "data-centre",
-                        anyPort,
-                        anyPort,
-                        folder,
-                        "",
-                        "",
-                        2500,
-                        1000,
-                        1,
-                        0,
-                        meanwhile.snapshotEvery,
-                        null,
-                        new ControlSettings.Warmup(1.5, 5));
+        ControlSettings settings = SingleControl.settings(anyPort, folder, meanwhile.snapshotEvery);
         FleetService fleet = new FleetService(settings);
         kernel =
                 new Kernel()
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetServiceNonsenseTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/fleet/FleetServiceNonsenseTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.chivevale.control.ControlSettings;
+import org.chivevale.control.SingleControl;
 import org.chivevale.control.internal.log.LogService;
 import org.chivevale.core.failover.AcknowledgedWrites;
 import org.chivevale.core.group.GroupId;
@@ -69,23 +70,7 @@
     @Test
     void everyRequestIsAnsweredAndOthersAreServed() throws Exception {
         HostPort wire = FreePorts.next();
-        ControlSettings settings =
-                new ControlSettings(
-                        "control-1",
-                        "region",
-                        "data-centre",
-                        wire,
-                        wire,
-                        folder,
-                        "",
-                        "",
-                        2500,
-                        1000,
-                        1,
-                        0,
-                        1000,
-                        null,
-                        new ControlSettings.Warmup(1.5, 5));
+        ControlSettings settings = SingleControl.settings(wire, folder, 1000);
         Kernel kernel =
                 new Kernel()
                         .register(EventLoop.NAME, new EventLoop())
--- a/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/log/LogServiceTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/control/internal/log/LogServiceTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.chivevale.control.ControlSettings;
+import org.chivevale.control.SingleControl;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.EventLoop;
@@ -34,23 +35,7 @@
     @BeforeEach
     void start() {
         HostPort anyPort = new HostPort("127.0.0.1", 0);
-        ControlSettings settings =
-                new ControlSettings(
-                        "control-1",
-                        "region",
-                        "data-centre",
-                        anyPort,
-                        anyPort,
-                        folder,
-                        "",
-                        "",
-                        2500,
-                        1000,
-                        1,
-                        0,
-                        1000,
-                        null,
-                        new ControlSettings.Warmup(1.5, 5));
+        ControlSettings settings = SingleControl.settings(anyPort, folder, 1000);
         log = new LogService(settings);
         kernel =
                 new Kernel()
