Form a log with a majority of the seeds, also after restarts

What callers saw: nothing is served, for good.

Cause: a log formed only once every seed had answered that it is new, against a wiped seed whose settings still say first = true. One lost seed held it up. That a folder belongs to the first start was known to the process only; a restarted one is told first = false and was no initial voter any more.

Change: the folder remembers the initial voters before the member says that it is one. Such an eligible member becomes a voter once all are eligible, or a majority has been for 4 s in which nobody has shown a leader or a log with changes. A member that is not eligible becomes so only if no majority is and all seeds have been without changes, and without a leader, for 4 s. An empty folder that replaces a lost one thus never votes under the id of the lost one while any seed has a log with changes. New leaders take changes once there are enough voters also when the first election comes late.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Leadership.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Leadership.java
@@ -39,6 +39,10 @@
     private final Map<String, PeerProgress> peers = new HashMap<>();
     private final Map<String, Long> joinRequests = new HashMap<>();
     private final long electedNanos;
+
+    /** True if the log had no changes, or had just been formed, when this leader was elected. */
+    private final boolean isNewLog;
+
     private long firstIndexOfTerm;
     private long lastSentNanos;
     private boolean leadershipReported;
@@ -49,6 +53,8 @@
         this.timing = node.timing();
         this.electedNanos = nowNanos;
         this.firstIndexOfTerm = log.lastIndex() + 1;
+        this.isNewLog =
+                log.isWithoutChanges() || node.hasFormedLogSince(nowNanos - MAX_FORMATION_NANOS);
         updatePeers(nowNanos);
     }
 
@@ -198,7 +204,8 @@
                 nowNanos - electedNanos < FIRST_JOIN_NANOS
                         || now.getLearnersCount() > 0
                         || !now.getVotersList().containsAll(joinRequests.keySet());
-        return node.hasFormedLogSince(nowNanos - MAX_FORMATION_NANOS)
+        return isNewLog
+                && nowNanos - electedNanos < MAX_FORMATION_NANOS
                 && now.getVotersCount() < timing.voters()
                 && mayGrow;
     }
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftLog.java
@@ -3,6 +3,8 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import org.chivevale.consensus.store.LogStorage;
+import org.chivevale.core.settings.HostPort;
+import org.chivevale.wire.proto.HardState;
 import org.chivevale.wire.proto.Participants;
 import org.chivevale.wire.proto.StoredEntry;
 import org.chivevale.wire.proto.StoredSnapshot;
@@ -108,6 +110,24 @@
         return index < snapshotIndex() || term(index) == term;
     }
 
+    /** True while no entry has carried a change. */
+    boolean isWithoutChanges() {
+        return store.snapshot() == null
+                && store.entries().stream().allMatch(entry -> entry.getPayload().isEmpty());
+    }
+
+    /** Returns the initial voters if the folder says that this member may be one; else empty. */
+    List<HostPort> initialVoters() {
+        return store.hardState().getInitialVotersList().stream().map(HostPort::parse).toList();
+    }
+
+    /** Makes the folder remember that its member may be one of the initial voters. */
+    void saveInitialVoters(List<HostPort> addresses) {
+        HardState.Builder state = store.hardState().toBuilder().clearInitialVoters();
+        addresses.forEach(address -> state.addInitialVoters(address.toString()));
+        store.saveHardState(state.build());
+    }
+
     int entryCount() {
         return store.entries().size();
     }
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -121,42 +121,45 @@
     }
 
     /**
-     * Makes this member one of the initial voters once each of them has said that it is new, unless
-     * its data folder is in use already or its address is not among them.
+     * Lets this member form a new log with others, unless its data folder is in use already or its
+     * address is not among them.
+     *
+     * <p>To be called at the first start of a deployment only, and not for a folder that replaces a
+     * lost one. The folder remembers it for later processes.
      *
      * @param addresses the initial voters, the same in every process
-     * @param storeId store id that all initial voters share
      */
-    public void bootstrap(List<HostPort> addresses, String storeId) {
-        if (isNew() && log.lastIndex() == 0 && addresses.contains(self.address())) {
-            joining.form(new Formation(addresses, storeId));
-        }
-    }
-
-    /** Returns whether this member has promised nothing yet, neither by a vote nor by an entry. */
-    boolean isNew() {
-        return term() == 0;
+    public void bootstrap(List<HostPort> addresses) {
+        joining.form(addresses);
     }
 
-    /** Makes this member one of the initial voters of a log that all of them form. */
+    /**
+     * Makes this member one of the initial voters of a new log.
+     *
+     * <p>It does not vote in a term that another one knows already.
+     */
     void becomeVoter(Formation formed) {
         hasFormedLog = true;
         formedNanos = now();
-        store.adoptStoreId(formed.storeId());
-        self = new MemberId(self.address(), formed.storeId());
+        MemberId voter = Formation.initialVoter(self.address());
+        store.adoptStoreId(voter.storeId());
+        self = voter;
         selfText = self.toString();
-        log.append(
-                List.of(
-                        StoredEntry.newBuilder()
-                                .setIndex(1)
-                                .setTerm(0)
-                                .setParticipants(formed.participants())
-                                .build()));
-        LOG.infof("all %d seeds are new: this is a voter of a new log", formed.size());
+        if (log.lastIndex() == 0) {
+            log.append(List.of(formed.initialEntry()));
+        }
+        if (formed.newestTerm() > term()) {
+            saveTerm(formed.newestTerm(), selfText);
+        }
         lastLeaderContactNanos = now() - timing.electionMinNanos();
         nextElectionNanos = now() + electionJitterNanos();
     }
 
+    /** Returns whether this member has the store id that all initial voters share. */
+    boolean isInitialVoter() {
+        return self.equals(Formation.initialVoter(self.address())) && log.lastIndex() > 0;
+    }
+
     /**
      * Sets the start time of this process, if it started before this node was constructed.
      *
@@ -255,7 +258,7 @@
         leader = "";
         leaderKnown = false;
         lastElectionNanos = now;
-        boolean mayElect = isVoter(selfText) && !joining.isForming();
+        boolean mayElect = isVoter(selfText) && !joining.isAwaitingVoters(now);
         if (mayElect) {
             election.start(true, wasLeaderBeforeStart());
         }
@@ -265,7 +268,7 @@
         }
     }
 
-    private boolean isVoter(String member) {
+    boolean isVoter(String member) {
         return log.participants().getVotersList().contains(member);
     }
 
@@ -279,7 +282,7 @@
 
     @Override
     public void receive(RaftMessage message) {
-        if (closed || !isAddressedToSelf(message)) {
+        if (closed) {
             return;
         }
         long lastIndex = role == Role.LEADER ? log.lastIndex() : MessageCheck.MAX_NUMBER;
@@ -288,7 +291,11 @@
             LOG.debugf("dropped a message of the log: %s", fault);
             return;
         }
-        handle(message);
+        if (isAddressedToSelf(message)) {
+            handle(message);
+        } else {
+            joining.onMisaddressed(message);
+        }
     }
 
     /** Rejects messages to an earlier data folder at this address, which has been lost. */
@@ -345,7 +352,8 @@
     }
 
     void saveTerm(long term, String votedFor) {
-        store.saveHardState(HardState.newBuilder().setTerm(term).setVotedFor(votedFor).build());
+        HardState.Builder state = store.hardState().toBuilder().clearLedTerm();
+        store.saveHardState(state.setTerm(term).setVotedFor(votedFor).build());
     }
 
     void stepDown(String reason) {
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -52,7 +52,6 @@
     private static final int ELECTION_MAX_MILLIS = 1000;
     private static final int LEASE_MARGIN_MILLIS = 100;
     private static final int REPLACE_AFTER_MILLIS = 1500;
-    private static final String BOOTSTRAP_STORE_ID = "first";
 
     private final ControlSettings settings;
     private final long createdNanos = EventLoop.nowNanos();
@@ -122,7 +121,7 @@
         node.setProcessStart(createdNanos);
         node.setSeeds(replication.seeds());
         if (replication.first()) {
-            node.bootstrap(replication.seeds(), BOOTSTRAP_STORE_ID);
+            node.bootstrap(replication.seeds());
         }
         return node;
     }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/JoinTrafficTest.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/JoinTrafficTest.java
@@ -69,7 +69,7 @@
                         () -> nowNanos);
         node.setProcessStart(nowNanos);
         node.setSeeds(SEEDS);
-        node.bootstrap(SEEDS, "first");
+        node.bootstrap(SEEDS);
         nodes.put(address, node);
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/RaftSimulation.java
@@ -138,7 +138,7 @@
                     List.of(members.get(0).address, members.get(1).address, members.get(2).address);
             node.setSeeds(seeds);
             if (first) {
-                node.bootstrap(seeds, "first");
+                node.bootstrap(seeds);
             }
         }
 
@@ -341,21 +341,38 @@
                 });
     }
 
-    /**
-     * Repairs all faults, then checks that the leader has applied every acknowledged value exactly
-     * once and that a new value can be committed.
-     */
-    void repairAndVerify() {
+    /** Ends cuts and pauses, and starts the members that are down, as at a later start. */
+    void bringBackAll() {
         healLinks();
-        lossShare = 0;
-        lateShare = 0;
         for (Member member : members) {
             member.pausedUntilNanos = 0;
             if (member.node == null) {
                 member.start(false);
             }
         }
-        run(8_000);
+    }
+
+    /**
+     * Repairs all faults, then checks that the leader has applied every acknowledged value exactly
+     * once and that a new value can be committed.
+     */
+    void repairAndVerify() {
+        repairAndVerify(8_000);
+    }
+
+    /** As {@link #repairAndVerify()}, with another time until a leader has to be there. */
+    void repairAndVerify(int millis) {
+        lossShare = 0;
+        lateShare = 0;
+        members.stream()
+                .filter(member -> member.storage != null)
+                .forEach(
+                        member -> {
+                            member.storage.isFull = false;
+                            member.storage.failsAtWrite = 0;
+                        });
+        bringBackAll();
+        run(millis);
         Member leader = leader();
         if (leader == null) {
             throw new AssertionError("no leader after all faults were repaired");
