Try a start again that failed for what may pass

What operators saw: a process ends by itself, is restarted into the same trouble, and ends again: an address that another process still holds or that the VM does not have yet, settings that are absent or half written at that moment. Ports for frames ended it with code 1 and a raw stack trace, others with code 2; an error (no memory for a thread) left services running.

Cause: each failure of a start was final, wherever it came from.

Change: ProcessEnd alone decides what ends a process: damaged data, an address that it may not use, an incomplete installation; settings that stay invalid for 2 s. Everything else is logged and tried again, with the settings as they are then. The last line on standard error names the cause in one line; the code is 2 for settings and 1 otherwise (was 2 for all). Callers are refused meanwhile. The metrics address does not hold up a start.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -22,6 +22,7 @@
 import org.chivevale.core.lease.LeaseGrantor;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.FrameServers;
 import org.chivevale.process.Metrics;
 import org.chivevale.wire.FrameConnection;
 import org.chivevale.wire.FrameListener;
@@ -113,7 +114,7 @@
                     state.addListener(this::onStateChanged);
                 });
         HostPort listen = settings.wireListen();
-        server = new FrameServer(listen.host(), listen.port(), new Listener());
+        server = FrameServers.open(listen, new Listener());
         loop.every(TICK_MILLIS, this::tick);
         loop.every(EXPIRY_INTERVAL_MILLIS, this::removeExpired);
     }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/errors/ResultCode.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/errors/ResultCode.java
@@ -54,6 +54,7 @@
     STORE_FAILED(7004, 500, "The data folder can't be written."),
     NOT_LEADER(7005, 503, "This control process can't decide at the moment."),
     ADDRESS_UNAVAILABLE(7006, 500, "The process can't listen on an address."),
+    ADDRESS_FORBIDDEN(7007, 500, "An address is none, or the process may not listen on it."),
     INTERNAL(9001, 500, "An internal error.");
 
     private final int number;
--- a/org.chivevale.core/src/main/java/org/chivevale/core/kernel/Kernel.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/kernel/Kernel.java
@@ -48,7 +48,7 @@
             for (Registration registration : registrations.values()) {
                 start(registration, new HashSet<>());
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             stop();
             throw e;
         }
--- a/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
@@ -6,7 +6,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -24,6 +26,8 @@
     private final int heapMegabytes;
     private final Path settings;
     private final File log;
+    private final List<String> javaOptions = new ArrayList<>();
+    private final Map<String, String> environment = new HashMap<>();
     private boolean optimized;
     private Process process;
 
@@ -56,6 +60,28 @@
         return this;
     }
 
+    /**
+     * Adds an option of the Java virtual machine.
+     *
+     * @param option as on the command line
+     * @return this process
+     */
+    public synchronized ChildProcess javaOption(String option) {
+        javaOptions.add(option);
+        return this;
+    }
+
+    /**
+     * Starts the process without arguments, and with variables that name its settings instead.
+     *
+     * @param variables names and values of environment variables
+     * @return this process
+     */
+    public synchronized ChildProcess configuredBy(Map<String, String> variables) {
+        environment.putAll(variables);
+        return this;
+    }
+
     private List<String> command() {
         List<String> words = new ArrayList<>();
         words.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
@@ -65,11 +91,14 @@
         if (!optimized) {
             words.add("-XX:TieredStopAtLevel=1");
         }
+        words.addAll(javaOptions);
         words.add("-cp");
         words.add(System.getProperty("java.class.path"));
         words.add(mainClass);
-        words.add("--settings");
-        words.add(settings.toString());
+        if (environment.isEmpty()) {
+            words.add("--settings");
+            words.add(settings.toString());
+        }
         return words;
     }
 
@@ -88,11 +117,12 @@
             return;
         }
         try {
-            process =
+            ProcessBuilder builder =
                     new ProcessBuilder(command())
                             .redirectErrorStream(true)
-                            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-                            .start();
+                            .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+            builder.environment().putAll(environment);
+            process = builder.start();
         } catch (IOException e) {
             throw new UncheckedIOException("cannot start process " + name, e);
         }
@@ -125,6 +155,15 @@
         return process != null && process.isAlive();
     }
 
+    /**
+     * Returns the exit code of a process that has ended.
+     *
+     * @return the code; above 128 after a signal
+     */
+    public synchronized int exitCode() {
+        return process.exitValue();
+    }
+
     /** Kills the process with SIGKILL and waits for its end. */
     public synchronized void kill() {
         if (process != null) {
--- a/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/EventLoop.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ListenErrors;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
@@ -94,10 +95,20 @@
      * @return the server, which accepts connections
      */
     public HttpServer serveHttp(HostPort listen, Handler<HttpServerRequest> handler) {
+        return listen(listen, () -> bindHttp(listen, handler));
+    }
+
+    /**
+     * Serves HTTP on the event loop, without waiting for it.
+     *
+     * @param listen address to bind
+     * @param handler responds to the requests
+     * @return the server once it accepts connections
+     */
+    public Future<HttpServer> bindHttp(HostPort listen, Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
                 new HttpServerOptions().setHost(listen.host()).setPort(listen.port());
-        return listen(
-                listen, () -> vertx.createHttpServer(options).requestHandler(handler).listen());
+        return vertx.createHttpServer(options).requestHandler(handler).listen();
     }
 
     /**
@@ -114,9 +125,7 @@
         try {
             return runAndAwait(bind);
         } catch (CompletionException e) {
-            throw new ChivevaleException(
-                    ResultCode.ADDRESS_UNAVAILABLE,
-                    "cannot listen on " + address + ": " + e.getCause().getMessage());
+            throw ListenErrors.cannotListen(address, e.getCause());
         }
     }
 
--- a/org.chivevale.process/src/main/java/org/chivevale/process/ListenSocket.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/ListenSocket.java
@@ -6,6 +6,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.UnresolvedAddressException;
 import org.chivevale.core.errors.ChivevaleException;
+import org.chivevale.core.errors.ListenErrors;
 import org.chivevale.core.errors.ResultCode;
 import org.chivevale.core.settings.HostPort;
 
@@ -41,7 +42,7 @@
             socket.bind();
             return socket;
         } catch (IOException e) {
-            throw unavailable(address, e);
+            throw ListenErrors.cannotListen(address, e);
         }
     }
 
@@ -54,15 +55,10 @@
             throw e;
         } catch (UnresolvedAddressException e) {
             channel.close();
-            throw unavailable(address, e);
+            throw ListenErrors.cannotListen(address, e);
         }
     }
 
-    private static ChivevaleException unavailable(HostPort address, Exception cause) {
-        return new ChivevaleException(
-                ResultCode.ADDRESS_UNAVAILABLE, "cannot listen on " + address + ": " + cause);
-    }
-
     /**
      * Returns the address.
      *
@@ -72,6 +68,15 @@
         return address;
     }
 
+    /**
+     * Returns whether the socket has not been closed.
+     *
+     * @return false after {@link #close}, also by the server that owned it
+     */
+    public boolean isOpen() {
+        return channel.isOpen();
+    }
+
     ServerSocketChannel channel() {
         return channel;
     }
--- a/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
@@ -16,12 +16,15 @@
 /**
  * Base of the processes' main classes: parses the command line, runs the kernel, sets exit codes.
  *
+ * <p>{@link ProcessEnd} decides which failures end the process; the last line on standard error
+ * then names the cause.
+ *
  * <p>Without arguments, the environment variable {@link #SETTINGS_VARIABLE} names the settings, and
  * no command line is parsed: a process that is started again after a failure then serves sooner.
- * Exit code 2 reports a wrong command line or wrong settings. Used by one thread.
+ * Exit code 2 reports a wrong command line or wrong settings, 1 another cause. Used by one thread.
  */
 public abstract class Main {
-    private static final int BAD_SETTINGS_STATUS = 2;
+    private static final int BAD_COMMAND_LINE_STATUS = 2;
     private static final String SETTINGS_VARIABLE = "CHIVEVALE_SETTINGS";
     private static final String DEFAULT_SETTINGS = "settings.toml";
 
@@ -57,6 +60,7 @@
      */
     protected static <T extends Main> void run(
             Class<T> type, Supplier<T> constructor, String[] args) {
+        Thread.setDefaultUncaughtExceptionHandler(Main::logUncaught);
         try {
             if (args.length == 0) {
                 Main main = constructor.get();
@@ -64,11 +68,18 @@
             } else {
                 runCommandLine(type, args);
             }
-        } catch (ChivevaleException e) {
-            fail(e.code().number() + " " + e.code() + ": " + e.getMessage());
+        } catch (ChivevaleException | LinkageError e) {
+            ProcessEnd.end(e);
         }
     }
 
+    private static void logUncaught(Thread thread, Throwable failure) {
+        log().errorf(failure, "unexpected failure in thread %s", thread.getName());
+    }
+
+    /** Called when an attempt to start has failed and another one follows. */
+    protected void onFailedStart() {}
+
     private static <T extends Main> void runCommandLine(Class<T> type, String[] args) {
         try {
             Main main = SingleCommand.singleCommand(type).parse(args);
@@ -76,15 +87,11 @@
                 main.run();
             }
         } catch (ParseException e) {
-            fail(e.getMessage());
+            System.err.println(e.getMessage());
+            System.exit(BAD_COMMAND_LINE_STATUS);
         }
     }
 
-    private static void fail(String message) {
-        System.err.println(message);
-        System.exit(BAD_SETTINGS_STATUS);
-    }
-
     private static void stop(Kernel kernel) {
         log().info("stopping");
         kernel.stop();
@@ -101,12 +108,13 @@
     }
 
     private void run() {
-        Kernel kernel = kernel(Path.of(settingsFile));
+        Path file = Path.of(settingsFile);
         if (checkOnly) {
+            kernel(file);
             System.out.println(settingsFile + ": ok");
             return;
         }
-        kernel.start();
+        Kernel kernel = new Startup(() -> kernel(file), this::onFailedStart).run();
         log().infof("started %s with %s", getClass().getSimpleName(), settingsFile);
         ProcessLifetime.runUntilStopped(() -> stop(kernel));
     }
--- a/org.chivevale.process/src/main/java/org/chivevale/process/MetricsServer.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/MetricsServer.java
@@ -1,14 +1,17 @@
 package org.chivevale.process;
 
 import io.vertx.core.http.HttpServerRequest;
+import org.chivevale.core.errors.ChivevaleException;
 import org.chivevale.core.kernel.Kernel;
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.HostPort;
+import org.jboss.logging.Logger;
 
 /**
  * Serves the meters of the process over HTTP at {@code /metrics} in Prometheus' text format.
  *
- * <p>Used on the event loop.
+ * <p>Invariant: an address that cannot be bound does not keep the process from its work; it is
+ * tried again. Used on the event loop.
  */
 public final class MetricsServer implements Service {
     /** Service name in the kernel. */
@@ -16,8 +19,11 @@
 
     private static final String PATH = "/metrics";
     private static final int NOT_FOUND = 404;
+    private static final long RETRY_MILLIS = 1_000;
+    private static final Logger LOG = Logger.getLogger(MetricsServer.class);
 
     private final HostPort listen;
+    private EventLoop loop;
     private Metrics metrics;
 
     /**
@@ -31,9 +37,23 @@
 
     @Override
     public void start(Kernel kernel) {
-        EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
+        loop = kernel.find(EventLoop.NAME, EventLoop.class);
         metrics = kernel.find(Metrics.NAME, Metrics.class);
-        loop.serveHttp(listen, this::handleRequest);
+        try {
+            loop.serveHttp(listen, this::handleRequest);
+        } catch (ChivevaleException e) {
+            LOG.warnf("metrics are not served yet: %s", e.getMessage());
+            retryLater();
+        }
+    }
+
+    private void retryLater() {
+        loop.vertx()
+                .setTimer(
+                        RETRY_MILLIS,
+                        ignored ->
+                                loop.bindHttp(listen, this::handleRequest)
+                                        .onFailure(failure -> retryLater()));
     }
 
     private void handleRequest(HttpServerRequest request) {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/session/RelayService.java
@@ -13,6 +13,7 @@
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.DecisionLog;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.FrameServers;
 import org.chivevale.process.Metrics;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
@@ -84,7 +85,7 @@
         engine = kernel.find(SessionService.NAME, SessionService.class).engine();
         registry = kernel.find(Metrics.NAME, Metrics.class).registry();
         queueTime = registry.timer("chivevale.proxy.relay.queued");
-        server = new FrameServer(listen.host(), listen.port(), new Listener());
+        server = FrameServers.open(listen, new Listener());
         loop.every(TICK_MILLIS, this::tick);
     }
 
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/transaction/ForwardService.java
@@ -15,6 +15,7 @@
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.FrameServers;
 import org.chivevale.proxy.ProxySettings;
 import org.chivevale.proxy.internal.fleet.Directory;
 import org.chivevale.proxy.internal.fleet.RegionRules;
@@ -81,7 +82,7 @@
     public void start(Kernel kernel) {
         loop = kernel.find(EventLoop.NAME, EventLoop.class);
         HostPort listen = settings.forwardListen();
-        server = new FrameServer(listen.host(), listen.port(), new ServerListener());
+        server = FrameServers.open(listen, new ServerListener());
         loop.every(TICK_MILLIS, this::expirePendingSteps);
     }
 
--- a/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameServer.java
+++ b/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -12,6 +13,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
@@ -29,11 +32,12 @@
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
     /**
-     * Binds the port and starts accepting connections; throws if the port is in use.
+     * Binds the port and starts accepting connections.
      *
      * @param host address to bind
      * @param port port to bind, 0 for a free one
      * @param listener receives the frames of all connections
+     * @throws UncheckedIOException when the port cannot be bound
      */
     public FrameServer(String host, int port, FrameListener listener) {
         ioLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -52,7 +56,21 @@
                                         child.pipeline().addLast(new FrameHandler(listener));
                                     }
                                 });
-        channel = bootstrap.bind(host, port).syncUninterruptibly().channel();
+        ChannelFuture bound = bootstrap.bind(host, port).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            stopLoops();
+            throw new UncheckedIOException(asIoException(bound.cause()));
+        }
+        channel = bound.channel();
+    }
+
+    private static IOException asIoException(Throwable cause) {
+        return cause instanceof IOException known ? known : new IOException(cause);
+    }
+
+    private void stopLoops() {
+        ioLoops.shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .syncUninterruptibly();
     }
 
     /**
@@ -74,7 +92,6 @@
     public void close() {
         channel.close().syncUninterruptibly();
         accepted.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
-        ioLoops.shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .syncUninterruptibly();
+        stopLoops();
     }
 }
