Handle SIGHUP from the first moment of a process on

What operators saw: a process that gets SIGHUP while it starts ends with code 129, proxies and control alike; control then comes back with first = false.

Cause: the handler was installed with the settings watch, after most of the start. Also, a file that changed between its first reading and the watch was taken as known, so the change was never applied.

Change: the handler is the first thing that a process installs; a signal that comes before the watch is remembered. The watch reads the file once at its start. What is left: the time before main, in which the Java virtual machine has its own handler; SIGUSR2 belongs to it (code 134).

--- a/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/Main.java
@@ -60,6 +60,7 @@
      */
     protected static <T extends Main> void run(
             Class<T> type, Supplier<T> constructor, String[] args) {
+        ReloadSignal.install();
         Thread.setDefaultUncaughtExceptionHandler(Main::logUncaught);
         try {
             if (args.length == 0) {
--- a/org.chivevale.process/src/main/java/org/chivevale/process/SettingsWatch.java
+++ b/org.chivevale.process/src/main/java/org/chivevale/process/SettingsWatch.java
@@ -9,13 +9,13 @@
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.Settings;
 import org.jboss.logging.Logger;
-import sun.misc.Signal;
 
 /**
  * Reloads the settings file while the process runs, on SIGHUP and by polling the file.
  *
- * <p>Invariant: a file that cannot be read or parsed changes nothing and is logged. Used on the
- * event loop.
+ * <p>Invariant: a file that cannot be read, or has an invalid value, changes nothing and is logged.
+ * The first reading takes place right after the start, since the file may have changed meanwhile.
+ * Used on the event loop.
  */
 public final class SettingsWatch implements Service {
     /** Service name in the kernel. */
@@ -43,9 +43,9 @@
     @Override
     public void start(Kernel kernel) {
         EventLoop loop = kernel.find(EventLoop.NAME, EventLoop.class);
-        lastText = readFile();
+        loop.run(() -> reloadIfChanged("start"));
         loop.every(POLL_INTERVAL_MILLIS, () -> reloadIfChanged("file changed"));
-        Signal.handle(new Signal("HUP"), signal -> loop.run(() -> reloadIfChanged("SIGHUP")));
+        ReloadSignal.onSignal(() -> loop.run(() -> reloadIfChanged("SIGHUP")));
     }
 
     private String readFile() {
@@ -64,7 +64,8 @@
         }
         lastText = now;
         try {
-            changeHandler.accept(Settings.parse(file.toString(), now));
+            Settings settings = Settings.parse(file.toString(), now);
+            changeHandler.accept(settings);
             LOG.infof("settings reloaded: %s", cause);
         } catch (ChivevaleException e) {
             LOG.warnf("settings not reloaded: %s", e.getMessage());
