Keep control up while its data folder cannot be used

Cause: the folder was opened once, and a failure ended the process. A store that was locked and then could not be loaded kept its lock, so a second attempt in the same process would have found it in use.

Change: control listens, answers what needs no data and takes no part in the log until the folder can be opened, which it tries every 300 ms. Damaged data still ends it.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
@@ -79,13 +79,24 @@
                         ResultCode.STORE_LOCKED, folder + " is locked by another process");
             }
             LogStore store = new LogStore(folder, files, channel, lock);
-            store.load();
-            return store;
+            return loadOrClose(store);
         } catch (IOException e) {
             throw storageError(folder, e);
         }
     }
 
+    /** Loads a store; one that cannot be loaded is closed, so that it can be opened again. */
+    private static LogStore loadOrClose(LogStore store) throws IOException {
+        try {
+            store.load();
+            return store;
+        } catch (IOException | RuntimeException e) {
+            closeQuietly(store.file);
+            store.lockChannel.close();
+            throw e;
+        }
+    }
+
     private static FileLock tryLock(FileChannel channel) throws IOException {
         try {
             return channel.tryLock();
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Promise;
 import java.security.SecureRandom;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
@@ -25,6 +26,7 @@
 import org.chivevale.core.kernel.Service;
 import org.chivevale.core.settings.HostPort;
 import org.chivevale.process.EventLoop;
+import org.chivevale.process.ProcessEnd;
 import org.chivevale.wire.proto.Change;
 import org.chivevale.wire.proto.LogEntry;
 import org.chivevale.wire.proto.OperatorPut;
@@ -47,6 +49,7 @@
     private static final int SECRET_BYTES = 32;
     private static final String FIRST_OPERATOR = "root";
     private static final long TICK_MILLIS = 30;
+    private static final long OPEN_RETRY_MILLIS = 300;
     private static final int HEARTBEAT_MILLIS = 120;
     private static final int ELECTION_MIN_MILLIS = 600;
     private static final int ELECTION_MAX_MILLIS = 1000;
@@ -57,7 +60,9 @@
     private final long createdNanos = EventLoop.nowNanos();
     private final ControlState state = new ControlState();
     private final Deque<Proposal> proposals = new ArrayDeque<>();
-    private ReplicatedLog log;
+    private final List<HostPort> seeds = new ArrayList<>();
+    private ReplicatedLog log = new UnopenedLog();
+    private boolean isStopped;
     private EventLoop loop;
     private FrameTransport transport;
     private boolean appending;
@@ -90,24 +95,57 @@
     @Override
     public void start(Kernel kernel) {
         loop = kernel.find(EventLoop.NAME, EventLoop.class);
-        loop.runAndWait(
-                () -> {
-                    LogStore store = LogStore.open(settings.dataFolder());
-                    log = open(store, loop);
-                    state.addListener(this::proposeInitialConfiguration);
-                    proposeInitialConfiguration();
-                });
-        if (settings.replication() != null) {
-            loop.every(TICK_MILLIS, () -> runGuarded(log::tick));
+        state.addListener(this::proposeInitialConfiguration);
+        if (settings.replication() == null) {
+            loop.runAndWait(this::open);
+            return;
         }
+        seeds.addAll(settings.replication().seeds());
+        transport = new FrameTransport(loop);
+        loop.runAndWait(this::openOrRetry);
+        loop.every(TICK_MILLIS, () -> runGuarded(log::tick));
+    }
+
+    private void open() {
+        log = open(LogStore.open(settings.dataFolder()));
+        proposeInitialConfiguration();
     }
 
-    private ReplicatedLog open(LogStore store, EventLoop loop) {
+    /**
+     * Opens the data folder, now or as soon as it can be.
+     *
+     * <p>Until then this process answers what needs no data, such as readiness and metrics, and
+     * takes no part in the log.
+     */
+    private void openOrRetry() {
+        if (isStopped) {
+            return;
+        }
+        try {
+            open();
+            LOG.infof("data folder %s opened", settings.dataFolder());
+        } catch (ChivevaleException e) {
+            if (ProcessEnd.isFinal(e)) {
+                throw e;
+            }
+            logStoreFailure(e);
+            loop.vertx().setTimer(OPEN_RETRY_MILLIS, ignored -> retryOpening());
+        }
+    }
+
+    private void retryOpening() {
+        try {
+            openOrRetry();
+        } catch (ChivevaleException e) {
+            ProcessEnd.endSoon(e);
+        }
+    }
+
+    private ReplicatedLog open(LogStore store) {
         ControlSettings.Replication replication = settings.replication();
         if (replication == null) {
             return new SingleNodeLog(settings.id(), store, state, settings.snapshotEvery());
         }
-        transport = new FrameTransport(loop);
         RaftNode node =
                 new RaftNode(
                         settings.wireListen(),
@@ -119,7 +157,7 @@
                         new Random(),
                         EventLoop::nowNanos);
         node.setProcessStart(createdNanos);
-        node.setSeeds(replication.seeds());
+        node.setSeeds(seeds);
         if (replication.first()) {
             node.bootstrap(replication.seeds());
         }
@@ -143,7 +181,9 @@
      */
     public void updateSeeds(ControlSettings changed) {
         if (changed.replication() != null) {
-            log.setSeeds(changed.replication().seeds());
+            seeds.clear();
+            seeds.addAll(changed.replication().seeds());
+            log.setSeeds(List.copyOf(seeds));
         }
     }
 
@@ -164,21 +204,24 @@
     private void runGuarded(Runnable step) {
         try {
             step.run();
-            if (storeFailing) {
+            if (storeFailing && !(log instanceof UnopenedLog)) {
                 storeFailing = false;
                 LOG.info("data folder can be written again");
             }
         } catch (ChivevaleException e) {
-            if (!storeFailing) {
-                LOG.errorf("data folder cannot be written: %s", e.getMessage());
-            }
-            storeFailing = true;
+            logStoreFailure(e);
+        }
+    }
+
+    private void logStoreFailure(ChivevaleException failure) {
+        if (!storeFailing) {
+            LOG.errorf("data folder cannot be used: %s: %s", failure.code(), failure.getMessage());
         }
+        storeFailing = true;
     }
 
     private void proposeInitialConfiguration() {
-        boolean uninitialized =
-                log != null && log.isLeader() && state.configuration().version() == 0;
+        boolean uninitialized = log.isLeader() && state.configuration().version() == 0;
         if (uninitialized && proposals.isEmpty() && !appending) {
             propose(FIRST_OPERATOR, "", now -> now.version() == 0 ? initialChanges() : List.of());
         }
@@ -378,6 +421,10 @@
 
     @Override
     public void stop() {
-        loop.runAndWait(log::close);
+        loop.runAndWait(
+                () -> {
+                    isStopped = true;
+                    log.close();
+                });
     }
 }
