Wait for settings that name no other process

What operators saw: a proxy whose settings name no control process ends with code 2. Worse, by reading and then by a test: a control process of a replicated log whose list of seeds is empty opened its folder as the only control process and led at once, beside the others.

Cause: an empty list was an error in one role, and stood for "not replicated" in the other. A reload with an invalid value was obeyed in part, and an empty list divided by zero at each renewal.

Change: a process without addresses waits for a reload that names some; a log is replicated where the settings have a replication table. A reload with an invalid value changes nothing.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlKernel.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlKernel.java
@@ -43,7 +43,7 @@
                         SettingsWatch.NAME,
                         new SettingsWatch(
                                 settingsFile,
-                                changed -> log.updateSeeds(ControlSettings.read(changed))),
+                                changed -> log.updateSeeds(ControlSettings.reread(changed))),
                         LogService.NAME)
                 .register(
                         FleetService.NAME,
--- a/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/ControlSettings.java
@@ -47,7 +47,8 @@
      * Settings of a replicated log.
      *
      * @param first true to bootstrap the log when the deployment starts with empty data folders
-     * @param seeds where other control processes receive messages of the log
+     * @param seeds where other control processes receive messages of the log; a process without any
+     *     waits until the settings name some
      * @param voters wanted number of voters
      */
     public record Replication(boolean first, List<HostPort> seeds, int voters) {
@@ -124,6 +125,18 @@
                         in.decimal("warmup.slack", DEFAULT_WARMUP_SLACK, 0, MAX_WARMUP_SLACK)));
     }
 
+    /**
+     * Reads the settings again while the process runs.
+     *
+     * @param in the file, which may contain further settings
+     * @return the settings
+     */
+    public static ControlSettings reread(Settings in) {
+        ControlSettings settings = read(in);
+        in.checkValues();
+        return settings;
+    }
+
     private static Replication replication(Settings in) {
         int port = in.number("replication.port", 0, 0, MAX_PORT);
         List<HostPort> seeds =
@@ -132,6 +145,6 @@
                         .toList();
         boolean first = in.flag("replication.first", false);
         int voters = in.number("replication.voters", DEFAULT_VOTERS, 1, MAX_VOTERS);
-        return seeds.isEmpty() ? null : new Replication(first, seeds, voters);
+        return in.has("replication") ? new Replication(first, seeds, voters) : null;
     }
 }
--- a/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
+++ b/org.chivevale.core/src/main/java/org/chivevale/core/settings/Settings.java
@@ -277,12 +277,31 @@
                 errors.add(file + ":" + line(key) + ": " + key + " is not a known setting");
             }
         }
+        checkValues();
+    }
+
+    /**
+     * Throws if any setting that was read is invalid; settings that were not read are allowed.
+     *
+     * @throws ChivevaleException with SETTINGS_INVALID and all errors
+     */
+    public void checkValues() {
         if (!errors.isEmpty()) {
             throw new ChivevaleException(
                     ResultCode.SETTINGS_INVALID, String.join(System.lineSeparator(), errors));
         }
     }
 
+    /**
+     * Tells whether a key is present.
+     *
+     * @param key dotted key
+     * @return true also for a table and for an empty list
+     */
+    public boolean has(String key) {
+        return toml.contains(key);
+    }
+
     private Object value(String key) {
         readKeys.add(key);
         try {
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/ProxySettings.java
@@ -121,8 +121,8 @@
      */
     public static ProxySettings read(Settings in) {
         List<HostPort> control = in.addresses("control");
-        if (control.isEmpty()) {
-            in.reject("control", null, "a list of \"IP:PORT\", one at least");
+        if (!in.has("control")) {
+            in.reject("control", null, "a list of \"IP:PORT\"");
         }
         boolean http = in.flag("http_api", true);
         return new ProxySettings(
@@ -137,6 +137,18 @@
                 limits(in));
     }
 
+    /**
+     * Reads the settings again while the process runs.
+     *
+     * @param in the file, which may contain other keys
+     * @return the settings
+     */
+    public static ProxySettings reread(Settings in) {
+        ProxySettings settings = read(in);
+        in.checkValues();
+        return settings;
+    }
+
     private static List<HostPort> onPort(List<HostPort> addresses, int port) {
         if (port == 0) {
             return addresses;
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/SessionKernel.java
@@ -46,7 +46,7 @@
                         SettingsWatch.NAME,
                         new SettingsWatch(
                                 settingsFile,
-                                changed -> link.setSeeds(ProxySettings.read(changed).control())),
+                                changed -> link.setSeeds(ProxySettings.reread(changed).control())),
                         ControlLink.NAME)
                 .register(SessionPools.NAME, pools, ControlLink.NAME, Metrics.NAME)
                 .register(RateLimiter.NAME, new RateLimiter(settings, directory), ControlLink.NAME)
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlAddresses.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlAddresses.java
@@ -35,7 +35,10 @@
         seeds = List.copyOf(changed);
     }
 
-    /** Returns the address to try next; that of a silent process only if there is no other. */
+    /**
+     * Returns the address to try next; that of a silent process only if there is no other. Null
+     * while none is known.
+     */
     HostPort next(long nowNanos) {
         if (leader != null) {
             HostPort target = leader;
@@ -45,6 +48,9 @@
         LinkedHashSet<HostPort> all = new LinkedHashSet<>(members);
         all.addAll(seeds);
         List<HostPort> known = new ArrayList<>(all);
+        if (known.isEmpty()) {
+            return null;
+        }
         HostPort next = known.get(nextIndex % known.size());
         if (known.size() > 1 && isSilent(next, nowNanos)) {
             advance();
--- a/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
+++ b/org.chivevale.proxy/src/main/java/org/chivevale/proxy/internal/fleet/ControlLink.java
@@ -49,6 +49,7 @@
     private static final long RATE_TIMEOUT_MILLIS = 300;
 
     private static final long RETRY_MILLIS = 40;
+    private static final long NO_ADDRESS_RETRY_NANOS = 2_000 * NANOS_PER_MILLI;
 
     /** How long a fence is delayed at most for statements in flight at the primary. */
     private static final long FENCE_WAIT_NANOS = 250 * NANOS_PER_MILLI;
@@ -132,10 +133,13 @@
     /**
      * Replaces the configured addresses of control, as after a reload of the settings.
      *
-     * @param changed the addresses; at least one
+     * @param changed the addresses; while there are none, no lease is requested
      */
     public void setSeeds(List<HostPort> changed) {
         addresses.setSeeds(changed);
+        if (target == null) {
+            nextRenewNanos = EventLoop.nowNanos();
+        }
     }
 
     /**
@@ -239,8 +243,13 @@
         if (isConnecting) {
             return;
         }
-        isConnecting = true;
         target = addresses.next(EventLoop.nowNanos());
+        if (target == null) {
+            LOG.warn("no address of control is set");
+            nextRenewNanos = EventLoop.nowNanos() + NO_ADDRESS_RETRY_NANOS;
+            return;
+        }
+        isConnecting = true;
         client.connect(
                 target.host(),
                 target.port(),
