--- a/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
+++ b/org.chivevale.load/src/main/java/org/chivevale/load/deployment/ChildProcess.java
@@ -30,6 +30,7 @@
     private final Map<String, String> environment = new HashMap<>();
     private boolean optimized;
     private Process process;
+    private long logBytesAtStart;
 
     /**
      * Describes a process; it runs after {@link #start}.
@@ -122,6 +123,7 @@
                             .redirectErrorStream(true)
                             .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
             builder.environment().putAll(environment);
+            logBytesAtStart = log.length();
             process = builder.start();
         } catch (IOException e) {
             throw new UncheckedIOException("cannot start process " + name, e);
@@ -155,6 +157,15 @@
         return process != null && process.isAlive();
     }
 
+    /**
+     * Returns whether the process has written anything, so that its own code has begun to run.
+     *
+     * @return false until then, also after a new start
+     */
+    public synchronized boolean hasLogged() {
+        return isAlive() && log.length() > logBytesAtStart;
+    }
+
     /**
      * Returns the exit code of a process that has ended.
      *
