--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/fleet/FleetService.java
@@ -211,7 +211,8 @@
         if (inForceTracker.hasPending()) {
             for (long tookMillis :
                     inForceTracker.markInForce(leases, now, System.currentTimeMillis())) {
-                inForceTimer.record(Duration.ofMillis(tookMillis));
+                // The change was accepted at the time of day of another VM, or before a step of it.
+                inForceTimer.record(Duration.ofMillis(Math.max(0, tookMillis)));
             }
         }
         if (log.isLeader()) {
