Open no files for clients of frames that are not used

What operators would see: a process whose start is tried again for minutes runs out of files, and then fails for that.

Cause: each attempt created clients for frames, whose I/O loops hold files from their construction on; the log's one was never closed.

Change: the loops are opened with the first connection; the log closes its connections when it stops.

Evidence: ProcessStartTest#attemptsThatFailLeaveNoFilesOpenInControl failed before ("79 and 103 files" within 3 s) and passes; the one for proxies passed before as well.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/FrameTransport.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/FrameTransport.java
@@ -87,6 +87,11 @@
         }
     }
 
+    /** Closes all connections; nothing is sent afterwards. */
+    void close() {
+        client.close();
+    }
+
     /** Returns whether an attempt to connect to a peer is in progress. */
     boolean isConnecting(HostPort to) {
         Peer peer = peers.get(to);
--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -426,5 +426,8 @@
                     isStopped = true;
                     log.close();
                 });
+        if (transport != null) {
+            transport.close();
+        }
     }
 }
--- a/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameClient.java
+++ b/org.chivevale.wire/src/main/java/org/chivevale/wire/FrameClient.java
@@ -17,12 +17,13 @@
  * <p>Thread safety: may be used from any thread; callbacks run on the I/O thread.
  */
 public final class FrameClient implements AutoCloseable {
-    private final EventLoopGroup ioLoops =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final int connectTimeoutMillis;
 
+    /** Opened with the first connection, so that a client that is never used holds no files. */
+    private EventLoopGroup ioLoops;
+
     /**
-     * Starts the I/O thread; no connection is opened yet.
+     * Creates a client; no connection is opened yet.
      *
      * @param connectTimeoutMillis timeout of each connection attempt
      */
@@ -43,7 +44,7 @@
         FrameHandler handler = new FrameHandler(listener);
         Bootstrap bootstrap =
                 new Bootstrap()
-                        .group(ioLoops)
+                        .group(ioLoops())
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
@@ -62,8 +63,17 @@
                                 connected.accept(future.isSuccess() ? handler.connection() : null));
     }
 
+    private synchronized EventLoopGroup ioLoops() {
+        if (ioLoops == null) {
+            ioLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        }
+        return ioLoops;
+    }
+
     @Override
-    public void close() {
-        ioLoops.shutdownGracefully();
+    public synchronized void close() {
+        if (ioLoops != null) {
+            ioLoops.shutdownGracefully();
+        }
     }
 }
