Sync a log's folder also after an opening that failed

What operators would see: after a disk that was full for a moment at a first start, and a loss of power, a member has an empty folder though it had voted and stored entries: one lost disk more than the deployment has lost.

Cause: the folder was synced only by the opening that created the log's file. If the disk refused that sync, the next opening found the file and a store id and took the folder as synced.

Change: the folder is synced before the first write of each opening.

Evidence: entriesOutlastALossOfPowerThoughTheFirstOpeningFailedAtAnyChange failed before ("change 4 ==> expected: <1> but was: <0>") and passes.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/store/LogStore.java
@@ -42,7 +42,10 @@
     private final FileLock lock;
     private final List<StoredEntry> entries = new ArrayList<>();
     private RecordFile file;
-    private boolean isFolderSynced = true;
+
+    /** False until the folder is synced, since an earlier opening may have failed before that. */
+    private boolean isFolderSynced;
+
     private HardState hardState = HardState.getDefaultInstance();
     private StoredSnapshot snapshot;
 
@@ -121,7 +124,6 @@
         entries.removeIf(entry -> entry.getTerm() < snapshotTerm());
         if (hardState.getStoreId().isEmpty()) {
             saveHardState(hardState.toBuilder().setStoreId(UUID.randomUUID().toString()).build());
-            files.syncFolder(folder);
         }
     }
 
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/FailingFiles.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/FailingFiles.java
@@ -6,15 +6,18 @@
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * File operations on a disk that refuses some of the changes in a row, and that forgets the
- * replacement of files at a loss of power unless their folder was synced.
+ * creation and replacement of files at a loss of power unless their folder was synced.
  */
 final class FailingFiles implements StoreFiles {
     private final StoreFiles disk = StoreFiles.onDisk();
     private final Map<Path, byte[]> replacedUnsynced = new HashMap<>();
+    private final Set<Path> createdUnsynced = new HashSet<>();
     private int changes;
     private int firstRefused;
     private int lastRefused;
@@ -39,6 +42,9 @@
     @Override
     public FileChannel open(Path path, OpenOption... options) throws IOException {
         requireAccepted();
+        if (!Files.exists(path)) {
+            createdUnsynced.add(path);
+        }
         return new FullDiskChannel(disk.open(path, options), this::refusesNext);
     }
 
@@ -48,6 +54,7 @@
         if (Files.exists(file)) {
             replacedUnsynced.putIfAbsent(file, Files.readAllBytes(file));
         }
+        createdUnsynced.remove(newFile);
         disk.replace(newFile, file);
     }
 
@@ -62,10 +69,15 @@
         requireAccepted();
         disk.syncFolder(folder);
         replacedUnsynced.clear();
+        createdUnsynced.clear();
     }
 
-    /** Takes back the replacements that were not synced. */
+    /** Takes back the creations and replacements that were not synced. */
     void losePower() throws IOException {
+        for (Path created : createdUnsynced) {
+            Files.deleteIfExists(created);
+        }
+        createdUnsynced.clear();
         for (Map.Entry<Path, byte[]> replaced : replacedUnsynced.entrySet()) {
             Files.write(replaced.getKey(), replaced.getValue());
         }
--- a/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/LogStoreProperties.java
+++ b/org.chivevale.system.test/src/test/java/org/chivevale/consensus/store/LogStoreProperties.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.chivevale.core.errors.ChivevaleException;
@@ -27,6 +28,7 @@
 class LogStoreProperties {
     private static final int OPERATIONS = 25;
     private static final int MAX_CHANGES_BEFORE = 90;
+    private static final int CHANGES_OF_AN_OPENING = 10;
 
     /** What the store has confirmed, and what it has refused since. */
     private static final class Model {
@@ -87,6 +89,33 @@
                 .build();
     }
 
+    /** The file of a new log has to be durable before anything in it is confirmed. */
+    @Example
+    void entriesOutlastALossOfPowerThoughTheFirstOpeningFailedAtAnyChange() throws IOException {
+        for (int refused = 0; refused < CHANGES_OF_AN_OPENING; refused++) {
+            Path folder = Files.createTempDirectory("store");
+            FailingFiles files = new FailingFiles();
+            files.refuse(refused, 1);
+            LogStore store = openAtLast(folder, files);
+            files.refuse(0, 0);
+            store.append(List.of(entry(1, 1, refused)));
+            store.close();
+            files.losePower();
+            LogStore reopened = LogStore.open(folder);
+            assertEquals(1, reopened.entries().size(), "change " + refused);
+            reopened.close();
+            delete(folder);
+        }
+    }
+
+    private static LogStore openAtLast(Path folder, FailingFiles files) {
+        try {
+            return LogStore.open(folder, files);
+        } catch (ChivevaleException e) {
+            return LogStore.open(folder, files);
+        }
+    }
+
     @Property(tries = 500, seed = "20261205")
     void everyChangeIsWholeOrUndoneAndTheStoreWorksAgain(@ForAll long seed) throws IOException {
         SplittableRandom random = new SplittableRandom(seed);
