Form no log with a member that votes already

By reading the formation from its diff: a member that has become a voter under its own store id in a log without changes could give that up for the id of an initial voter. It now takes no part in a formation.

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Joining.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Joining.java
@@ -86,15 +86,21 @@
     }
 
     private void formWith(List<HostPort> voters) {
-        boolean isCandidate = node.log().isWithoutChanges() && !node.isInitialVoter();
         boolean isNamed = voters.contains(node.selfId().address());
-        formation = isCandidate && isNamed ? new Formation(voters, node.selfId().address()) : null;
+        formation = mayForm() && isNamed ? new Formation(voters, node.selfId().address()) : null;
+    }
+
+    /** False once the log has changes, or this member votes in it already. */
+    private boolean mayForm() {
+        return node.log().isWithoutChanges() && !node.isVoter(node.self());
     }
 
     /** Sends requests at short intervals while this member has no log, and takes part in one. */
     void tick(long nowNanos) {
-        if (!node.log().isWithoutChanges()) {
+        if (!mayForm()) {
             formation = null;
+        }
+        if (!node.log().isWithoutChanges()) {
             return;
         }
         if (!node.leaderMember().isEmpty()) {
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/RaftNode.java
@@ -155,11 +155,6 @@
         nextElectionNanos = now() + electionJitterNanos();
     }
 
-    /** Returns whether this member has the store id that all initial voters share. */
-    boolean isInitialVoter() {
-        return self.equals(Formation.initialVoter(self.address())) && log.lastIndex() > 0;
-    }
-
     /**
      * Sets the start time of this process, if it started before this node was constructed.
      *
