Count an earlier process as ended once its folder is free

What callers could have seen: two leaders of control at once, and so an older configuration after a newer one.

Cause: a member must not vote while a leader that it has acknowledged may hold its lease. It takes the start of its process for the latest time at which an earlier process of it can have acknowledged one. Since control waits for a folder that is in use, that earlier process may live on after the start.

Change: after an opening that failed, the time of the opening counts.

Evidence: LateFolderTest failed before ("assumed end before the folder was free") and passes.

--- a/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
+++ b/org.chivevale.control/src/main/java/org/chivevale/control/internal/log/LogService.java
@@ -57,11 +57,15 @@
     private static final int REPLACE_AFTER_MILLIS = 1500;
 
     private final ControlSettings settings;
-    private final long createdNanos = EventLoop.nowNanos();
+
+    /** When an earlier process of this member had ended at the latest. */
+    private long processStartNanos = EventLoop.nowNanos();
+
     private final ControlState state = new ControlState();
     private final Deque<Proposal> proposals = new ArrayDeque<>();
     private final List<HostPort> seeds = new ArrayList<>();
     private ReplicatedLog log = new UnopenedLog();
+    private boolean hasFailedToOpen;
     private boolean isStopped;
     private EventLoop loop;
     private FrameTransport transport;
@@ -107,7 +111,12 @@
     }
 
     private void open() {
-        log = open(LogStore.open(settings.dataFolder()));
+        LogStore store = LogStore.open(settings.dataFolder());
+        if (hasFailedToOpen) {
+            // Until now, an earlier process may have used the folder and acknowledged a leader.
+            processStartNanos = EventLoop.nowNanos();
+        }
+        log = open(store);
         proposeInitialConfiguration();
     }
 
@@ -129,6 +138,7 @@
                 throw e;
             }
             logStoreFailure(e);
+            hasFailedToOpen = true;
             loop.vertx().setTimer(OPEN_RETRY_MILLIS, ignored -> retryOpening());
         }
     }
@@ -156,7 +166,7 @@
                         settings.snapshotEvery(),
                         new Random(),
                         EventLoop::nowNanos);
-        node.setProcessStart(createdNanos);
+        node.setProcessStart(processStartNanos);
         node.setSeeds(seeds);
         if (replication.first()) {
             node.bootstrap(replication.seeds());
