Form no log from empty folders of a few seeds

What operators could have seen: where settings name one or two seeds of a larger log, and those lose their folders while the others are out of reach for 4 s, they form a second log, and what was acknowledged is hidden.

Cause: the exception for empty folders asked for all seeds, on the ground that one of them has each change; with fewer seeds than a majority of the voters that does not follow.

Change: the exception needs seeds that are a majority of the wanted voters.

Evidence: anEmptyFolderOfOneSeedOfALargerLogFormsNone failed without the new condition ("expected: <WAIT> but was: <BECOME_ELIGIBLE>").

--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Formation.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Formation.java
@@ -17,9 +17,9 @@
  * earlier folder at its address can have voted under that id. Invariants: an eligible member
  * becomes a voter once all initial voters are eligible, or a majority of them has been for a while
  * in which nobody has shown a leader or a log with changes; a member that is not eligible, since
- * its folder may replace a lost one, becomes eligible only if no majority is, and all initial
- * voters have been without changes for that while, in which nobody has shown a leader or changes
- * either. Not thread safe.
+ * its folder may replace a lost one, becomes eligible only if no majority is, the initial voters
+ * are a majority of the wanted ones, and all of them have been without changes for that while, in
+ * which nobody has shown a leader or changes either. Not thread safe.
  */
 final class Formation {
     /**
@@ -48,6 +48,7 @@
     private final Map<String, Answer> answers = new HashMap<>();
     private final Condition hasMajority = new Condition();
     private final Condition isFirstStart = new Condition();
+    private final int wantedVoters;
     private long newestTerm;
 
     /** A condition, and since when it has held. */
@@ -72,8 +73,10 @@
      *
      * @param voters addresses of the initial voters, this member's among them
      * @param self address of this member
+     * @param wantedVoters number of voters that the log is to have
      */
-    Formation(List<HostPort> voters, HostPort self) {
+    Formation(List<HostPort> voters, HostPort self, int wantedVoters) {
+        this.wantedVoters = wantedVoters;
         voters.forEach(voter -> addresses.add(voter.toString()));
         this.self = self.toString();
     }
@@ -126,7 +129,7 @@
         boolean all = present == addresses.size();
         boolean majority = eligible * 2 > addresses.size();
         hasMajority.set(majority && !logSeenLately, nowNanos);
-        boolean mayBeFirstStart = !majority || isFirstStart.holds;
+        boolean mayBeFirstStart = hasQuorum() && (!majority || isFirstStart.holds);
         isFirstStart.set(all && !logSeenLately && mayBeFirstStart, nowNanos);
         if (!isEligible) {
             return isFirstStart.hasHeldFor(PATIENCE_NANOS, nowNanos)
@@ -139,6 +142,14 @@
                 : Step.WAIT;
     }
 
+    /**
+     * True if one of the initial voters at least has each change that a log has acknowledged; a few
+     * seeds of a larger log may all have lost their folders.
+     */
+    private boolean hasQuorum() {
+        return addresses.size() * 2 > wantedVoters;
+    }
+
     private boolean isEligible(String address) {
         Answer answer = answers.get(address);
         return answer != null && answer.isEligible();
--- a/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Joining.java
+++ b/org.chivevale.consensus/src/main/java/org/chivevale/consensus/raft/Joining.java
@@ -87,7 +87,10 @@
 
     private void formWith(List<HostPort> voters) {
         boolean isNamed = voters.contains(node.selfId().address());
-        formation = mayForm() && isNamed ? new Formation(voters, node.selfId().address()) : null;
+        formation =
+                mayForm() && isNamed
+                        ? new Formation(voters, node.selfId().address(), node.timing().voters())
+                        : null;
     }
 
     /** False once the log has changes, or this member votes in it already. */
